--- /dev/null
+++ b/internal/answerer/answerer.go
@@ -0,0 +1,323 @@
+// Package answerer is the HTTP surface of an entry instance: the generated
+// API for callers and operators, plain handlers for work, health and metrics,
+// and the peers' side.
+//
+// Usage:
+//
+//	a := answerer.Answerer{Engine: e, Executor: x, ...}
+//	public, err := a.Public()
+//	peers, err := a.Peers()
+package answerer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/yuccathread/yuccathread/internal/api"
+	"github.com/yuccathread/yuccathread/internal/clock"
+	"github.com/yuccathread/yuccathread/internal/engine"
+	"github.com/yuccathread/yuccathread/internal/executor"
+	"github.com/yuccathread/yuccathread/internal/gossiper"
+	"github.com/yuccathread/yuccathread/internal/message"
+	"github.com/yuccathread/yuccathread/internal/model"
+	"github.com/yuccathread/yuccathread/internal/patcher"
+	"github.com/yuccathread/yuccathread/internal/reducer"
+)
+
+// Answerer answers callers, operators and other instances. Set the fields
+// before the first call.
+type Answerer struct {
+	Engine   *engine.Engine
+	Executor *executor.Executor
+	Patcher  *patcher.Patcher
+	Registry metrics.Registry
+	Clock    clock.Clock
+	Self     model.Instance
+	// MaxBodyBytes bounds request bodies before their kind is known.
+	MaxBodyBytes int64
+}
+
+// Public returns the handler of the address for callers and operators.
+func (a *Answerer) Public() (http.Handler, error) {
+	server, err := api.NewServer(a, api.WithErrorHandler(writeAPIError))
+	if err != nil {
+		return nil, fmt.Errorf("answerer: %w", err)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/work/{kind}", a.work)
+	mux.HandleFunc("GET /healthz", a.healthy)
+	mux.HandleFunc("GET /readyz", a.ready)
+	mux.HandleFunc("GET /metrics", a.metrics)
+	mux.Handle("/", withClient(server))
+	return mux, nil
+}
+
+// Peers returns the handler of the address for other instances.
+func (a *Answerer) Peers() (http.Handler, error) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+model.PathPeerWork, a.peerWork)
+	if err := gossiper.Serve(mux, &peer{answerer: a}); err != nil {
+		return nil, err
+	}
+	return mux, nil
+}
+
+type clientKey struct{}
+
+// withClient keeps the connection's address for look-ups.
+func withClient(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), clientKey{}, r.RemoteAddr)
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+func hostAddress(address string) netip.Addr {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		host = address
+	}
+	a, err := netip.ParseAddr(host)
+	if err != nil {
+		return netip.Addr{}
+	}
+	return a
+}
+
+// LookUp names the instances that a client should use.
+func (a *Answerer) LookUp(ctx context.Context, params api.LookUpParams) (*api.LookUpAnswer, error) {
+	client := params.Client.Value
+	if client == "" {
+		client, _ = ctx.Value(clientKey{}).(string)
+	}
+	effect := a.Engine.Do(message.LookedUp{
+		Kind:   params.Kind,
+		Client: hostAddress(client),
+		Random: rand.Uint64(),
+	})
+	answer, ok := effect.(message.AnswerLookUp)
+	if !ok || answer.Code != model.CodeOK {
+		return nil, &resultError{result: model.Result{Outcome: model.NotRun, Code: answer.Code, Detail: params.Kind}}
+	}
+	entries := make([]api.Entry, 0, len(answer.Entries))
+	for _, e := range answer.Entries {
+		entries = append(entries, api.Entry{Name: e.Name, Domain: e.Domain, Address: e.Address})
+	}
+	return &api.LookUpAnswer{
+		Entries: entries,
+		Home:    answer.Home,
+		TTLMs:   answer.TTL.Milliseconds(),
+		Version: answer.Version,
+	}, nil
+}
+
+// IssueTicket returns a ticket that this process alone will honour.
+func (a *Answerer) IssueTicket(context.Context) (*api.Ticket, error) {
+	answer, ok := a.Engine.Do(message.TicketAsked{Random: rand.Uint64()}).(message.AnswerTicket)
+	if !ok || answer.Ticket == "" {
+		return nil, &resultError{result: model.Result{Outcome: model.NotRun, Code: model.CodeNotReady}}
+	}
+	return &api.Ticket{Ticket: answer.Ticket, Expires: answer.Expires}, nil
+}
+
+// GetConfiguration returns the configuration in force here.
+func (a *Answerer) GetConfiguration(context.Context) (*api.Head, error) {
+	var head model.Head
+	a.Engine.View(func(r *reducer.Reducer) { head = r.Head() })
+	if head.Version == 0 {
+		return nil, &resultError{result: model.Result{Outcome: model.NotRun, Code: model.CodeNotReady, Detail: "no configuration yet"}}
+	}
+	return convert[api.Head](head)
+}
+
+// PatchConfiguration applies a patch to a numbered version.
+func (a *Answerer) PatchConfiguration(ctx context.Context, request *api.Patch) (*api.Change, error) {
+	patch := model.Patch{
+		BaseVersion: request.BaseVersion,
+		ChangeID:    request.ChangeID,
+		Author:      request.Author,
+		Operations:  request.Patch,
+		DryRun:      request.DryRun.Value,
+	}
+	head, err := a.Patcher.Apply(ctx, patch)
+	if err != nil {
+		return nil, err
+	}
+	if !patch.DryRun {
+		a.Executor.Adopt(head, "patch")
+	}
+	return convert[api.Change](head.Change)
+}
+
+// GetInForce tells whether a version is in force everywhere.
+func (a *Answerer) GetInForce(_ context.Context, params api.GetInForceParams) (*api.InForce, error) {
+	status := a.status()
+	answer := &api.InForce{Version: params.Version}
+	for _, d := range status.Domains {
+		switch {
+		case !d.Heard:
+			answer.Unheard = append(answer.Unheard, d.Name)
+		case d.OldestVersion < params.Version && len(d.Laggards) == 0:
+			answer.Lagging = append(answer.Lagging, d.Name)
+		case d.OldestVersion < params.Version:
+			answer.Lagging = append(answer.Lagging, d.Laggards...)
+		}
+	}
+	known := status.ConfigurationVersion >= params.Version
+	answer.InForce = known && len(answer.Lagging) == 0 && len(answer.Unheard) == 0
+	return answer, nil
+}
+
+func (a *Answerer) status() model.Status {
+	var status model.Status
+	a.Engine.View(func(r *reducer.Reducer) { status = r.Status() })
+	return status
+}
+
+// GetStatus describes the instance and its view of the fleet.
+func (a *Answerer) GetStatus(context.Context) (*api.Status, error) {
+	return convert[api.Status](a.status())
+}
+
+// GetTimeline returns the newest records that fit the filters.
+func (a *Answerer) GetTimeline(_ context.Context, params api.GetTimelineParams) (*api.Timeline, error) {
+	answer := &api.Timeline{Instance: a.Self.Name}
+	for _, x := range a.Executor.Timeline() {
+		if !strings.HasPrefix(x.Request, params.Request.Value) {
+			continue
+		}
+		if params.Kind.Value != "" && params.Kind.Value != x.Kind {
+			continue
+		}
+		if params.Subject.Value != "" && params.Subject.Value != x.Subject {
+			continue
+		}
+		answer.Records = append(answer.Records, newRecord(x))
+	}
+	if excess := len(answer.Records) - params.Limit.Value; excess > 0 {
+		answer.Records = answer.Records[excess:]
+	}
+	return answer, nil
+}
+
+func newRecord(x model.Record) api.Record {
+	return api.Record{
+		WallMs:   x.WallMS,
+		Logical:  int(x.Logical),
+		Instance: x.Instance,
+		Kind:     x.Kind,
+		Request:  optional(x.Request),
+		Subject:  optional(x.Subject),
+		Reason:   optional(x.Reason),
+		Inputs:   optional(x.Inputs),
+	}
+}
+
+func optional(text string) api.OptString {
+	return api.OptString{Value: text, Set: text != ""}
+}
+
+// NewError turns an error into the one shape that problems have.
+func (a *Answerer) NewError(_ context.Context, err error) *api.ProblemStatusCode {
+	return newProblem(err)
+}
+
+// convert carries data over to a generated type by its JSON, which has the
+// same names.
+func convert[T any](from any) (*T, error) {
+	data, err := json.Marshal(from)
+	if err != nil {
+		return nil, fmt.Errorf("answerer: %w", err)
+	}
+	to := new(T)
+	if err := json.Unmarshal(data, to); err != nil {
+		return nil, fmt.Errorf("answerer: %w", err)
+	}
+	return to, nil
+}
+
+// resultError carries a result as an error.
+type resultError struct {
+	result model.Result
+}
+
+// Error names the code.
+func (e *resultError) Error() string {
+	if e.result.Detail == "" {
+		return string(e.result.Code)
+	}
+	return string(e.result.Code) + ": " + e.result.Detail
+}
+
+func newProblem(err error) *api.ProblemStatusCode {
+	if e, ok := errors.AsType[*resultError](err); ok {
+		return resultProblem(e)
+	}
+	if e, ok := errors.AsType[*model.StaleError](err); ok {
+		return staleProblem(e)
+	}
+	if e, ok := errors.AsType[*model.FindingsError](err); ok {
+		return findingsProblem(e)
+	}
+	if e, ok := errors.AsType[*model.UncertainError](err); ok {
+		return problem(http.StatusServiceUnavailable, "uncertain", model.Unknown, e.Error())
+	}
+	return problem(http.StatusServiceUnavailable, string(model.CodeStoreAway), model.NotRun, err.Error())
+}
+
+func problem(status int, code string, outcome model.Outcome, text string) *api.ProblemStatusCode {
+	return &api.ProblemStatusCode{
+		StatusCode: status,
+		Response:   api.Problem{Code: code, Outcome: api.ProblemOutcome(outcome), Message: text},
+	}
+}
+
+func resultProblem(e *resultError) *api.ProblemStatusCode {
+	return problem(httpStatus(e.result), string(e.result.Code), e.result.Outcome, e.Error())
+}
+
+func staleProblem(e *model.StaleError) *api.ProblemStatusCode {
+	p := problem(http.StatusConflict, "stale_version", model.NotRun, e.Error())
+	p.Response.CurrentVersion = api.NewOptInt64(e.Current)
+	for _, c := range e.Conflicts {
+		if change, err := convert[api.Change](c); err == nil {
+			p.Response.Conflicts = append(p.Response.Conflicts, *change)
+		}
+	}
+	return p
+}
+
+func findingsProblem(e *model.FindingsError) *api.ProblemStatusCode {
+	p := problem(http.StatusUnprocessableEntity, "invalid", model.NotRun, "the patch is refused; nothing was written")
+	for _, f := range e.Findings {
+		if finding, err := convert[api.Finding](f); err == nil {
+			p.Response.Findings = append(p.Response.Findings, *finding)
+		}
+	}
+	return p
+}
+
+// writeAPIError answers requests that the generated code cannot read.
+func writeAPIError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
+	writeProblem(w, problem(http.StatusBadRequest, "bad_request", model.NotRun, err.Error()))
+}
+
+func writeProblem(w http.ResponseWriter, p *api.ProblemStatusCode) {
+	data, err := json.Marshal(&p.Response)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(p.StatusCode)
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/answerer/metrics.go
@@ -0,0 +1,67 @@
+package answerer
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/yuccathread/yuccathread/internal/message"
+	"github.com/yuccathread/yuccathread/internal/model"
+)
+
+func (a *Answerer) exchange(question model.Gossip) *model.Gossip {
+	answer, ok := a.Engine.Do(message.Gossiped{Gossip: question}).(message.ReplyGossip)
+	if !ok {
+		return nil
+	}
+	return &answer.Gossip
+}
+
+// metrics writes the registry in the text format that scrapers read.
+func (a *Answerer) metrics(w http.ResponseWriter, _ *http.Request) {
+	a.gauge()
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	a.Registry.Each(func(name string, metric any) {
+		name = "yuccathread_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+		switch m := metric.(type) {
+		case metrics.Counter:
+			fmt.Fprintf(w, "%s %d\n", name, m.Count())
+		case metrics.Gauge:
+			fmt.Fprintf(w, "%s %d\n", name, m.Value())
+		case metrics.Timer:
+			s := m.Snapshot()
+			fmt.Fprintf(w, "%s_count %d\n", name, s.Count())
+			fmt.Fprintf(w, "%s_p50_ns %.0f\n", name, s.Percentile(0.5))
+			fmt.Fprintf(w, "%s_p99_ns %.0f\n", name, s.Percentile(0.99))
+		}
+	})
+}
+
+// gauge sets the gauges from the reducer's status.
+func (a *Answerer) gauge() {
+	s := a.status()
+	set := func(name string, value int64) {
+		metrics.GetOrRegisterGauge(name, a.Registry).Update(value)
+	}
+	set("in_flight", int64(s.InFlight))
+	set("once_only_records", int64(s.OnceOnlyRecords))
+	set("configuration_version", s.ConfigurationVersion)
+	set("table_revision", s.TableRevision)
+	set("store_away", number(s.StoreAway))
+	set("lease_valid", number(s.LeaseValid))
+	set("ready", number(s.Ready))
+	set("leaving", number(s.Leaving))
+	for _, x := range s.Servers {
+		set("server_in_flight."+x.Name, int64(x.InFlight))
+		set("server_allowed."+x.Name, int64(x.Allowed))
+	}
+}
+
+func number(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/executor/peers.go
@@ -0,0 +1,34 @@
+package executor
+
+import (
+	"github.com/yuccathread/yuccathread/internal/message"
+	"github.com/yuccathread/yuccathread/internal/model"
+)
+
+func (x *Executor) sendGossip(e message.SendGossip) {
+	started := x.Clock.Now()
+	reply, err := x.Gossiper.Exchange(e.Peer.PeerAddress, e.Gossip)
+	if err != nil {
+		x.engine.Do(message.GossipFailed{Peer: e.Peer})
+		return
+	}
+	x.engine.Do(message.GossipAnswered{Peer: e.Peer, Gossip: reply, Started: started})
+}
+
+func (x *Executor) fetchConfiguration(peer model.Instance) {
+	head, err := x.Gossiper.Configuration(peer.PeerAddress)
+	if err != nil {
+		x.Logger.Debug("configuration not fetched", "peer", peer.Name, "error", err)
+		return
+	}
+	x.Adopt(head, peer.Name)
+}
+
+func (x *Executor) fetchTable(peer model.Instance) {
+	table, err := x.Gossiper.Table(peer.PeerAddress)
+	if err != nil {
+		x.Logger.Debug("table not fetched", "peer", peer.Name, "error", err)
+		return
+	}
+	x.engine.Do(message.TableFetched{Table: table})
+}
--- /dev/null
+++ b/internal/executor/platform.go
@@ -0,0 +1,237 @@
+package executor
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/yuccathread/yuccathread/internal/message"
+	"github.com/yuccathread/yuccathread/internal/model"
+	"github.com/yuccathread/yuccathread/internal/patcher"
+)
+
+const (
+	// claimTries bounds the tries to learn what the store did with a claim.
+	claimTries = 3
+	// maxLoadBytes bounds a server's load report.
+	maxLoadBytes = 4096
+)
+
+// headCache is the head's newest revision seen in the store.
+type headCache struct {
+	revision int64
+}
+
+// tableCache is the newest table read from the store.
+type tableCache struct {
+	revision int64
+	table    model.Table
+}
+
+func (x *Executor) storeFailed(operation string, err error) {
+	x.Logger.Debug("store call failed", "operation", operation, "error", err)
+	x.engine.Do(message.StoreFailed{Operation: operation})
+}
+
+func (x *Executor) readConfiguration() {
+	value, err := x.Store.Get(x.ctx, model.KeyHead, x.head.revision)
+	if err != nil {
+		x.storeFailed("read configuration", err)
+		return
+	}
+	if len(value.Data) == 0 {
+		return
+	}
+	var head model.Head
+	if err := json.Unmarshal(value.Data, &head); err != nil {
+		x.Logger.Error("malformed configuration in the store", "error", err)
+		return
+	}
+	x.head.revision = value.Revision
+	x.Adopt(head, "store")
+}
+
+// Adopt gives a configuration to the reducer if it is valid.
+func (x *Executor) Adopt(head model.Head, source string) {
+	if findings := patcher.Check(head.Document); len(findings) > 0 {
+		x.Logger.Error("invalid configuration", "source", source, "version", head.Version,
+			"error", &model.FindingsError{Findings: findings})
+		return
+	}
+	var configuration model.Configuration
+	if err := json.Unmarshal(head.Document, &configuration); err != nil {
+		x.Logger.Error("malformed configuration", "source", source, "error", err)
+		return
+	}
+	x.engine.Do(message.ConfigurationSeen{Head: head, Configuration: configuration, Source: source})
+}
+
+func (x *Executor) readTable() {
+	started := x.Clock.Now()
+	value, err := x.Store.Get(x.ctx, model.KeyTables+x.Domain, x.table.revision)
+	if err != nil {
+		x.storeFailed("read table", err)
+		return
+	}
+	if len(value.Data) > 0 {
+		var table model.Table
+		if err := json.Unmarshal(value.Data, &table); err != nil {
+			x.Logger.Error("malformed table in the store", "error", err)
+			x.engine.Do(message.StoreFailed{Operation: "read table"})
+			return
+		}
+		x.table = tableCache{revision: value.Revision, table: table}
+	}
+	x.engine.Do(message.TableRead{
+		Table:         x.table.table,
+		StoreRevision: x.table.revision,
+		Started:       started,
+	})
+}
+
+func (x *Executor) writeTable(e message.WriteTable) {
+	started := x.Clock.Now()
+	data, err := json.Marshal(e.Table)
+	if err != nil {
+		x.Logger.Error("table cannot be encoded", "error", err)
+		return
+	}
+	value, err := x.Store.Put(x.ctx, model.KeyTables+x.Domain, data, e.StoreRevision, 0)
+	if err != nil {
+		x.storeFailed("write table", err)
+		return
+	}
+	x.engine.Do(message.TableWritten{
+		Table:         e.Table,
+		StoreRevision: value.Revision,
+		Started:       started,
+		Conflict:      value.Conflict,
+	})
+}
+
+func (x *Executor) readListing(domain string) {
+	listing, err := x.List.List(x.ctx, domain)
+	if err != nil {
+		x.engine.Do(message.ListFailed{Domain: domain})
+		return
+	}
+	x.engine.Do(message.Listed{Domain: domain, Listing: listing})
+}
+
+// load is a server's report about itself.
+type load struct {
+	Slots    int  `json:"slots"`
+	Busy     int  `json:"busy"`
+	Draining bool `json:"draining"`
+}
+
+func (x *Executor) pollLoad(s model.Server) {
+	report, err := x.getLoad(s)
+	if err != nil {
+		return
+	}
+	x.engine.Do(message.LoadReported{
+		Server:   s.Name,
+		Slots:    report.Slots,
+		Busy:     report.Busy,
+		Draining: report.Draining,
+	})
+}
+
+func (x *Executor) getLoad(s model.Server) (load, error) {
+	var report load
+	request, err := http.NewRequestWithContext(x.ctx, http.MethodGet, "http://"+s.Address+"/load", nil)
+	if err != nil {
+		return report, fmt.Errorf("executor: %w", err)
+	}
+	response, err := x.Platform.Do(request)
+	if err != nil {
+		return report, fmt.Errorf("executor: %w", err)
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxLoadBytes)).Decode(&report); err != nil {
+		return report, fmt.Errorf("executor: %w", err)
+	}
+	return report, nil
+}
+
+func claimKey(key string) string {
+	return model.KeyClaims + base64.RawURLEncoding.EncodeToString([]byte(key))
+}
+
+// claim takes a key by creating it. After a lost answer the key is read back:
+// the nonce tells an own write from another's.
+func (x *Executor) claim(e message.Claim) {
+	ctx, cancel := context.WithDeadline(x.ctx, e.Deadline)
+	defer cancel()
+	claimed := message.Claimed{ID: e.ID, Verdict: message.ClaimAway, Holder: e.Claim}
+	for range claimTries {
+		verdict, holder, err := x.tryClaim(ctx, e)
+		if err == nil {
+			claimed.Verdict = verdict
+			claimed.Holder = holder
+			break
+		}
+	}
+	x.engine.Do(claimed)
+}
+
+func (x *Executor) tryClaim(ctx context.Context, e message.Claim) (message.ClaimVerdict, model.Claim, error) {
+	data, err := json.Marshal(e.Claim)
+	if err != nil {
+		return "", e.Claim, fmt.Errorf("executor: %w", err)
+	}
+	put, err := x.Store.Put(ctx, claimKey(e.Claim.Key), data, 0, e.Lifetime)
+	if err != nil {
+		return "", e.Claim, err
+	}
+	if !put.Conflict {
+		return message.ClaimGranted, e.Claim, nil
+	}
+	holder, _, err := x.readClaim(ctx, e.Claim.Key)
+	if err != nil {
+		return "", e.Claim, err
+	}
+	if holder.Nonce == e.Claim.Nonce && holder.Incarnation == e.Claim.Incarnation {
+		return message.ClaimGranted, holder, nil
+	}
+	return message.ClaimHeld, holder, nil
+}
+
+func (x *Executor) readClaim(ctx context.Context, key string) (model.Claim, int64, error) {
+	var claim model.Claim
+	value, err := x.Store.Get(ctx, claimKey(key), 0)
+	if err != nil {
+		return claim, 0, err
+	}
+	if value.Revision == 0 {
+		return claim, 0, fmt.Errorf("executor: the claim on %q is gone", key)
+	}
+	if err := json.Unmarshal(value.Data, &claim); err != nil {
+		return claim, 0, fmt.Errorf("executor: malformed claim: %w", err)
+	}
+	return claim, value.Revision, nil
+}
+
+// settle writes a claim's outcome, unless the claim is another's by now.
+func (x *Executor) settle(e message.Settle) {
+	claim, revision, err := x.readClaim(x.ctx, e.Claim.Key)
+	if err != nil {
+		x.engine.Do(message.Settled{Key: e.Claim.Key})
+		return
+	}
+	if claim.Nonce != e.Claim.Nonce || claim.Outcome == e.Claim.Outcome {
+		x.engine.Do(message.Settled{Key: e.Claim.Key, OK: true})
+		return
+	}
+	data, err := json.Marshal(e.Claim)
+	if err != nil {
+		x.Logger.Error("claim cannot be encoded", "error", err)
+		return
+	}
+	put, err := x.Store.Put(x.ctx, claimKey(e.Claim.Key), data, revision, e.Lifetime)
+	x.engine.Do(message.Settled{Key: e.Claim.Key, OK: err == nil && !put.Conflict})
+}
--- /dev/null
+++ b/internal/gossiper/gossiper.go
@@ -0,0 +1,164 @@
+// Package gossiper carries control messages between instances over net/rpc.
+//
+// net/rpc has no time limits of its own: each call here is given one, and a
+// connection whose call ran out of time is closed.
+//
+// Usage:
+//
+//	g := gossiper.Gossiper{Timeout: time.Second}
+//	reply, err := g.Exchange("127.0.0.1:8180", gossip)
+//
+// The serving side registers a value with the methods of Peer; see Serve.
+package gossiper
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/yuccathread/yuccathread/internal/model"
+)
+
+const (
+	path    = "/v1/peer/rpc"
+	service = "Peer"
+)
+
+// ErrTimeout ends a call that was not answered in time.
+var ErrTimeout = errors.New("gossiper: the call was not answered in time")
+
+// Gossiper calls other instances and keeps its connections.
+type Gossiper struct {
+	// Timeout bounds each call.
+	Timeout time.Duration
+
+	mutex   sync.Mutex
+	clients map[string]*rpc.Client
+}
+
+// Exchange asks an instance for what it knows.
+func (g *Gossiper) Exchange(address string, question model.Gossip) (model.Gossip, error) {
+	var reply model.Gossip
+	err := g.call(address, "Exchange", question, &reply)
+	return reply, err
+}
+
+// Configuration asks an instance for its configuration.
+func (g *Gossiper) Configuration(address string) (model.Head, error) {
+	var head model.Head
+	err := g.call(address, "Configuration", model.Nothing{}, &head)
+	return head, err
+}
+
+// Table asks an instance for its failure domain's table.
+func (g *Gossiper) Table(address string) (model.Table, error) {
+	var table model.Table
+	err := g.call(address, "Table", model.Nothing{}, &table)
+	return table, err
+}
+
+func (g *Gossiper) call(address, method string, question, reply any) error {
+	client, err := g.client(address)
+	if err != nil {
+		return err
+	}
+	call := client.Go(service+"."+method, question, reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(g.Timeout)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-timer.C:
+		err = ErrTimeout
+	}
+	if err == nil {
+		return nil
+	}
+	if _, ok := errors.AsType[rpc.ServerError](err); !ok {
+		g.drop(address, client)
+	}
+	return fmt.Errorf("gossiper: %s: %w", address, err)
+}
+
+func (g *Gossiper) client(address string) (*rpc.Client, error) {
+	g.mutex.Lock()
+	client, ok := g.clients[address]
+	g.mutex.Unlock()
+	if ok {
+		return client, nil
+	}
+	client, err := g.dial(address)
+	if err != nil {
+		return nil, err
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if other, ok := g.clients[address]; ok {
+		client.Close()
+		return other, nil
+	}
+	if g.clients == nil {
+		g.clients = make(map[string]*rpc.Client)
+	}
+	g.clients[address] = client
+	return client, nil
+}
+
+// dial is rpc.DialHTTPPath with a time limit.
+func (g *Gossiper) dial(address string) (*rpc.Client, error) {
+	conn, err := net.DialTimeout("tcp", address, g.Timeout)
+	if err != nil {
+		return nil, fmt.Errorf("gossiper: %w", err)
+	}
+	_ = conn.SetDeadline(time.Now().Add(g.Timeout))
+	if _, err := io.WriteString(conn, "CONNECT "+path+" HTTP/1.0\n\n"); err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("gossiper: %w", err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodConnect})
+	if err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("gossiper: %w", err)
+	}
+	if response.StatusCode != http.StatusOK {
+		conn.Close()
+		return nil, fmt.Errorf("gossiper: %s answered %s", address, response.Status)
+	}
+	_ = conn.SetDeadline(time.Time{})
+	return rpc.NewClient(conn), nil
+}
+
+func (g *Gossiper) drop(address string, client *rpc.Client) {
+	g.mutex.Lock()
+	if g.clients[address] == client {
+		delete(g.clients, address)
+	}
+	g.mutex.Unlock()
+	client.Close()
+}
+
+// Close ends all connections.
+func (g *Gossiper) Close() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for address, client := range g.clients {
+		client.Close()
+		delete(g.clients, address)
+	}
+}
+
+// Serve registers the methods of peer (Exchange, Configuration, Table) on a mux.
+func Serve(mux *http.ServeMux, peer any) error {
+	server := rpc.NewServer()
+	if err := server.RegisterName(service, peer); err != nil {
+		return fmt.Errorf("gossiper: %w", err)
+	}
+	mux.Handle(path, server)
+	return nil
+}
--- /dev/null
+++ b/internal/model/gossip.go
@@ -0,0 +1,91 @@
+package model
+
+import "time"
+
+// Digest is what an instance tells the others of its failure domain about itself.
+type Digest struct {
+	Instance
+	// Sequence grows with every digest of one incarnation.
+	Sequence             uint64
+	Leaving              bool
+	Ready                bool
+	ConfigurationVersion int64
+	TableRevision        int64
+	// StoreAge is how long ago the store last confirmed the table to this
+	// instance, directly or through others.
+	StoreAge time.Duration
+	// Pools is the state of the instance's own servers by service.
+	Pools []Pool
+	// Foreign counts requests in flight on servers that the instance no longer owns.
+	Foreign []Occupied
+	Shares  []Share
+}
+
+// Pool is the state of one service's servers at one instance.
+type Pool struct {
+	Service string
+	Slots   int
+	Busy    int
+	Queued  int
+}
+
+// Occupied counts requests in flight on a server.
+type Occupied struct {
+	Server   string
+	InFlight int
+}
+
+// Share is where one home's traffic of a service went in the last full period.
+type Share struct {
+	Service  string
+	Home     string
+	Domain   string
+	Fraction float64
+	// Arrivals weighs the fraction when several instances report one home.
+	Arrivals int
+}
+
+// Summary is what a failure domain tells the other failure domains.
+type Summary struct {
+	Domain   string
+	Author   string
+	Sequence uint64
+	// Entries are the instances that take work from elsewhere.
+	Entries []SummaryEntry
+	// OldestVersion is the lowest configuration version in force in the domain.
+	OldestVersion int64
+	// Laggards are instances below the newest version that the author knows.
+	Laggards []string
+	Shares   []Share
+}
+
+// SummaryEntry is one instance in a Summary.
+type SummaryEntry struct {
+	Instance
+	Leaving bool
+	Pools   []Pool
+}
+
+// Gossip is one exchange between two instances. Its reply has the same shape.
+type Gossip struct {
+	From      Instance
+	Stamp     Stamp
+	Digests   []Digest
+	Summaries []Summary
+	// Digest and summary sequences that the sender has, so that the reply
+	// carries only what is newer.
+	KnownDigests   []Known
+	KnownSummaries []Known
+	// Versions that the sender can hand out.
+	ConfigurationVersion int64
+	TableRevision        int64
+}
+
+// Known names the newest sequence held of one instance or failure domain.
+type Known struct {
+	Name     string
+	Sequence uint64
+}
+
+// Nothing is the argument of calls that need none.
+type Nothing struct{}
--- /dev/null
+++ b/internal/model/request.go
@@ -0,0 +1,97 @@
+package model
+
+import "time"
+
+// Outcome says whether work was executed by an upstream.
+type Outcome string
+
+// The three answers about execution that are kept apart everywhere.
+const (
+	// Ran means that an upstream executed the work and its answer is whole.
+	Ran Outcome = "ran"
+	// NotRun means that no upstream executed the work, and none will.
+	NotRun Outcome = "not_run"
+	// Unknown means that bytes may have reached an upstream.
+	Unknown Outcome = "unknown"
+)
+
+// Code is a stable identifier of the reason for a result.
+type Code string
+
+// Codes of results.
+const (
+	CodeOK              Code = "ok"
+	CodeUnknownKind     Code = "unknown_kind"
+	CodeBodyTooLarge    Code = "body_too_large"
+	CodeDeadline        Code = "deadline_exceeded"
+	CodeOverloaded      Code = "overloaded"
+	CodeShiftCap        Code = "shift_cap"
+	CodeLinkLimit       Code = "link_limit"
+	CodeNoUpstream      Code = "no_upstream"
+	CodeNotReady        Code = "not_ready"
+	CodeCallerGone      Code = "caller_gone"
+	CodeKeyRequired     Code = "key_required"
+	CodeKeyReused       Code = "key_reused"
+	CodeTicketExpired   Code = "ticket_expired"
+	CodeIssuerAway      Code = "issuer_unreachable"
+	CodeStoreAway       Code = "store_unavailable"
+	CodeClaimLimit      Code = "claim_limit"
+	CodeClaimed         Code = "claimed_elsewhere"
+	CodeUpstreamFailed  Code = "upstream_failed"
+	CodeUpstreamRefused Code = "upstream_refused"
+	CodePeerFailed      Code = "peer_failed"
+	CodeLeaving         Code = "leaving"
+	CodeAnswerDropped   Code = "answer_not_kept"
+)
+
+// Request is work as the reducer sees it; the body stays with the shell.
+type Request struct {
+	ID   string `json:"id"`
+	Kind string `json:"kind"`
+	// Key makes the work idempotent: a ticket or the caller's own key.
+	Key string `json:"key,omitempty"`
+	// Digest identifies the body, so that a key reused for other work is found.
+	Digest uint64 `json:"digest"`
+	// Home is the failure domain nearest to the client.
+	Home string `json:"home"`
+	// Deadline is on the clock of the instance that holds the request.
+	Deadline  time.Time `json:"deadline"`
+	BodyBytes int64     `json:"body_bytes"`
+	// Hops counts the instances that have handed the work on.
+	Hops int `json:"hops"`
+	// Origin is the instance that handed the work on, if any.
+	Origin string `json:"origin,omitempty"`
+	// OriginRegion is the region of Origin.
+	OriginRegion string `json:"origin_region,omitempty"`
+	// Bound is set where this instance must decide alone about the key.
+	Bound bool `json:"bound,omitempty"`
+	// Settled is the outcome that the store holds for the key, if any.
+	Settled Outcome `json:"settled,omitempty"`
+}
+
+// Result is the end of a request.
+type Result struct {
+	Outcome Outcome `json:"outcome"`
+	Code    Code    `json:"code"`
+	// Status is the upstream's HTTP status where Outcome is Ran.
+	Status int `json:"status,omitempty"`
+	// AnswerBytes is the size of the whole answer.
+	AnswerBytes int64 `json:"answer_bytes,omitempty"`
+	// Detail is for people.
+	Detail string `json:"detail,omitempty"`
+	// Server ran the work.
+	Server string `json:"server,omitempty"`
+	// RetryAfter is set where a later try may succeed.
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
+}
+
+// Claim is the store's record of a caller's own key.
+type Claim struct {
+	Key         string  `json:"key"`
+	Digest      uint64  `json:"digest"`
+	Holder      string  `json:"holder"`
+	Incarnation string  `json:"incarnation"`
+	PeerAddress string  `json:"peer_address"`
+	Nonce       string  `json:"nonce"`
+	Outcome     Outcome `json:"outcome,omitempty"`
+}
--- /dev/null
+++ b/internal/reducer/gossip.go
@@ -0,0 +1,398 @@
+package reducer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yuccathread/yuccathread/internal/message"
+	"github.com/yuccathread/yuccathread/internal/model"
+)
+
+const (
+	// gossipInterval is the time between two rounds of gossip.
+	gossipInterval = 500 * time.Millisecond
+	// siblingFanOut and domainFanOut bound the instances asked in one round.
+	siblingFanOut = 2
+	domainFanOut  = 2
+	// seedInterval is the time between two readings of the platform's list for
+	// a failure domain that nothing is heard of.
+	seedInterval = 4 * time.Second
+	// summaryEntries bounds the instances that a summary names.
+	summaryEntries = 8
+	// shareFloor leaves out flows that stay at home but for this fraction.
+	shareFloor = 0.01
+)
+
+// gossip asks some instances for what they know.
+func (r *Reducer) gossip(random uint64) {
+	for _, x := range r.siblings(random) {
+		r.emit(message.SendGossip{Peer: x, Gossip: r.question(x)})
+	}
+	if !r.delegate() {
+		return
+	}
+	for _, x := range r.strangers(random) {
+		r.emit(message.SendGossip{Peer: x, Gossip: r.question(x)})
+	}
+}
+
+// siblings picks instances of the own failure domain: by turns, and always one
+// that reads the store, so that its confirmations spread.
+func (r *Reducer) siblings(random uint64) []model.Instance {
+	known := make(map[string]model.Instance)
+	for _, x := range r.members.seeds[r.Self.Domain] {
+		known[x.Name] = x
+	}
+	for _, x := range r.table.table.Members {
+		known[x.Name] = x
+	}
+	for _, x := range r.members.own {
+		known[x.Name] = x.Instance
+	}
+	delete(known, r.Self.Name)
+	names := slices.Sorted(maps.Keys(known))
+	picked := make([]model.Instance, 0, siblingFanOut)
+	for _, name := range pick(names, random, siblingFanOut) {
+		picked = append(picked, known[name])
+	}
+	if len(names) <= siblingFanOut || r.delegate() {
+		return picked
+	}
+	reader := known[names[random%delegates]]
+	if !slices.Contains(picked, reader) {
+		picked[0] = reader
+	}
+	return picked
+}
+
+// strangers picks one instance each of some other failure domains.
+func (r *Reducer) strangers(random uint64) []model.Instance {
+	if r.policy == nil {
+		return nil
+	}
+	var domains []string
+	for domain := range r.policy.regionOf {
+		if domain != r.Self.Domain {
+			domains = append(domains, domain)
+		}
+	}
+	slices.Sort(domains)
+	var picked []model.Instance
+	for _, domain := range pick(domains, random, domainFanOut) {
+		if known := r.contacts(domain); len(known) > 0 {
+			picked = append(picked, known[random%uint64(len(known))])
+		}
+	}
+	return picked
+}
+
+// contacts returns the instances of another failure domain to talk to.
+func (r *Reducer) contacts(domain string) []model.Instance {
+	var known []model.Instance
+	if view, ok := r.members.domains[domain]; ok && r.now.Sub(view.heard) <= remoteFresh {
+		for _, x := range sorted(view.members) {
+			known = append(known, x.Instance)
+		}
+	}
+	if len(known) == 0 {
+		known = r.members.seeds[domain]
+	}
+	return known[:min(len(known), delegates)]
+}
+
+func pick(names []string, random uint64, count int) []string {
+	count = min(count, len(names))
+	picked := make([]string, 0, count)
+	for i := range count {
+		picked = append(picked, names[(random+uint64(i))%uint64(len(names))])
+	}
+	return picked
+}
+
+func (r *Reducer) question(to model.Instance) model.Gossip {
+	g := r.envelope()
+	if to.Domain == r.Self.Domain {
+		g.Digests = []model.Digest{r.digest()}
+		g.KnownDigests = r.knownDigests()
+	} else {
+		g.Summaries = r.newerSummaries(nil, r.Self.Domain)
+	}
+	g.KnownSummaries = r.knownSummaries()
+	return g
+}
+
+func (r *Reducer) envelope() model.Gossip {
+	return model.Gossip{
+		From:                 r.Self,
+		Stamp:                r.stamper.Next(r.now),
+		ConfigurationVersion: r.head.Version,
+		TableRevision:        r.table.table.Revision,
+	}
+}
+
+func (r *Reducer) gossiped(e message.Gossiped) {
+	r.learn(e.Gossip, time.Time{})
+	g := r.envelope()
+	if e.Gossip.From.Domain == r.Self.Domain {
+		g.Digests = r.newerDigests(e.Gossip.KnownDigests)
+	}
+	g.Summaries = r.newerSummaries(e.Gossip.KnownSummaries, "")
+	r.emit(message.ReplyGossip{Call: e.Call, Gossip: g})
+}
+
+func (r *Reducer) gossipAnswered(e message.GossipAnswered) {
+	r.learn(e.Gossip, e.Started)
+	if x := r.members.find(e.Gossip.From.Name, e.Gossip.From.Incarnation); x != nil {
+		x.roundTrip.Observe(r.now.Sub(e.Started))
+	}
+}
+
+func (r *Reducer) gossipFailed(message.GossipFailed) {}
+
+// learn takes in what another instance told. started is when it was asked,
+// zero if it told unasked.
+func (r *Reducer) learn(g model.Gossip, started time.Time) {
+	r.stamper.Merge(r.now, g.Stamp)
+	for _, d := range g.Digests {
+		r.learnDigest(d)
+	}
+	for _, s := range g.Summaries {
+		r.learnSummary(s)
+	}
+	if g.ConfigurationVersion > r.head.Version {
+		r.emit(message.FetchConfiguration{Peer: g.From})
+	}
+	if g.From.Domain == r.Self.Domain {
+		r.learnTable(g, started)
+	}
+}
+
+func (r *Reducer) learnDigest(d model.Digest) {
+	if d.Name == r.Self.Name || d.Domain != r.Self.Domain {
+		return
+	}
+	x, ok := r.members.own[d.Name]
+	if ok && x.Incarnation == d.Incarnation && x.sequence >= d.Sequence {
+		return
+	}
+	if !ok || x.Incarnation != d.Incarnation {
+		if ok && x.sequence > d.Sequence {
+			return
+		}
+		x = newMember(d.Instance, nearRoundTrip)
+		r.members.own[d.Name] = x
+		r.note("instance_seen", "", d.Name, "gossip", d.Incarnation)
+	}
+	if d.Leaving && !x.leaving {
+		r.note("instance_leaving", "", d.Name, "gossip", "")
+	}
+	x.sequence = d.Sequence
+	x.heard = r.now
+	x.digest = d
+	x.leaving = d.Leaving
+	x.ready = d.Ready
+	x.version = d.ConfigurationVersion
+	x.revision = d.TableRevision
+	x.update(d.Pools)
+	r.acknowledge(x)
+}
+
+func (r *Reducer) learnSummary(s model.Summary) {
+	if s.Domain == r.Self.Domain {
+		return
+	}
+	view, ok := r.members.domains[s.Domain]
+	if ok && view.Sequence >= s.Sequence {
+		return
+	}
+	if !ok {
+		view = &domainView{members: make(map[string]*member)}
+		r.members.domains[s.Domain] = view
+	}
+	view.Summary = s
+	view.heard = r.now
+	named := make(map[string]*member, len(s.Entries))
+	for _, e := range s.Entries {
+		x, ok := view.members[e.Name]
+		if !ok || x.Incarnation != e.Incarnation {
+			x = newMember(e.Instance, r.guessRoundTrip(e.Region))
+		}
+		x.ready = true
+		x.leaving = e.Leaving
+		x.heard = r.now
+		x.update(e.Pools)
+		named[e.Name] = x
+	}
+	view.members = named
+}
+
+func (r *Reducer) guessRoundTrip(region string) time.Duration {
+	if region == r.Self.Region {
+		return nearRoundTrip
+	}
+	return farRoundTrip
+}
+
+// digest describes this instance. Sequences are wall times, so that those of
+// a restarted instance are higher.
+func (r *Reducer) digest() model.Digest {
+	return model.Digest{
+		Instance:             r.Self,
+		Sequence:             uint64(r.now.UnixMilli()),
+		Leaving:              r.stopping.active,
+		Ready:                r.Ready(),
+		ConfigurationVersion: r.head.Version,
+		TableRevision:        r.table.table.Revision,
+		StoreAge:             r.leaser.Age(r.now),
+		Pools:                r.poolDigests(),
+		Foreign:              r.foreignDigests(),
+		Shares:               r.shareDigests(),
+	}
+}
+
+func (r *Reducer) poolDigests() []model.Pool {
+	pools := make([]model.Pool, 0, len(r.pools))
+	for _, name := range slices.Sorted(maps.Keys(r.pools)) {
+		p := r.pools[name]
+		allowed, busy := r.capacity(p)
+		pools = append(pools, model.Pool{Service: name, Slots: allowed, Busy: busy, Queued: p.queue.Len()})
+	}
+	return pools
+}
+
+func (r *Reducer) foreignDigests() []model.Occupied {
+	var foreign []model.Occupied
+	for _, s := range r.servers {
+		if !s.owned && s.inFlight > 0 {
+			foreign = append(foreign, model.Occupied{Server: s.Name, InFlight: s.inFlight})
+		}
+	}
+	slices.SortFunc(foreign, func(a, b model.Occupied) int { return cmp.Compare(a.Server, b.Server) })
+	return foreign
+}
+
+func (r *Reducer) shareDigests() []model.Share {
+	var shares []model.Share
+	for f, s := range r.shifters {
+		base := s.Base()
+		if base[f.home] > 1-shareFloor || s.Requests() == 0 {
+			continue
+		}
+		for domain, fraction := range base {
+			shares = append(shares, model.Share{
+				Service:  f.service,
+				Home:     f.home,
+				Domain:   domain,
+				Fraction: fraction,
+				Arrivals: s.Requests(),
+			})
+		}
+	}
+	slices.SortFunc(shares, compareShares)
+	return shares
+}
+
+func compareShares(a, b model.Share) int {
+	return cmp.Or(
+		cmp.Compare(a.Service, b.Service),
+		cmp.Compare(a.Home, b.Home),
+		cmp.Compare(a.Domain, b.Domain),
+	)
+}
+
+func (r *Reducer) knownDigests() []model.Known {
+	known := make([]model.Known, 0, len(r.members.own))
+	for _, x := range sorted(r.members.own) {
+		known = append(known, model.Known{Name: x.Name, Sequence: x.sequence})
+	}
+	return known
+}
+
+func (r *Reducer) knownSummaries() []model.Known {
+	known := make([]model.Known, 0, len(r.members.domains))
+	for _, domain := range slices.Sorted(maps.Keys(r.members.domains)) {
+		known = append(known, model.Known{Name: domain, Sequence: r.members.domains[domain].Sequence})
+	}
+	return known
+}
+
+func (r *Reducer) newerDigests(known []model.Known) []model.Digest {
+	has := byKnown(known)
+	newer := []model.Digest{r.digest()}
+	for _, x := range sorted(r.members.own) {
+		if x.sequence > has[x.Name] {
+			newer = append(newer, x.digest)
+		}
+	}
+	return newer
+}
+
+// newerSummaries returns what is newer than known, or only one failure
+// domain's summary.
+func (r *Reducer) newerSummaries(known []model.Known, only string) []model.Summary {
+	has := byKnown(known)
+	var newer []model.Summary
+	if r.delegate() && r.policy != nil {
+		newer = append(newer, r.summary())
+	}
+	if only != "" {
+		return newer
+	}
+	for _, domain := range slices.Sorted(maps.Keys(r.members.domains)) {
+		view := r.members.domains[domain]
+		if view.Sequence > has[domain] && r.now.Sub(view.heard) <= remoteFresh {
+			newer = append(newer, view.Summary)
+		}
+	}
+	return newer
+}
+
+func byKnown(known []model.Known) map[string]uint64 {
+	m := make(map[string]uint64, len(known))
+	for _, k := range known {
+		m[k.Name] = k.Sequence
+	}
+	return m
+}
+
+// summary describes the own failure domain to the others.
+func (r *Reducer) summary() model.Summary {
+	s := model.Summary{
+		Domain:        r.Self.Domain,
+		Author:        r.Self.Name,
+		Sequence:      uint64(r.now.UnixMilli()),
+		OldestVersion: r.head.Version,
+		Shares:        r.shareDigests(),
+	}
+	if r.Ready() {
+		s.Entries = append(s.Entries, model.SummaryEntry{
+			Instance: r.Self,
+			Leaving:  r.stopping.active,
+			Pools:    r.poolDigests(),
+		})
+	}
+	newest := r.head.Version
+	for _, x := range r.members.live(r.now) {
+		newest = max(newest, x.version)
+		s.OldestVersion = min(s.OldestVersion, x.version)
+		s.Shares = append(s.Shares, x.digest.Shares...)
+		if x.ready && len(s.Entries) < summaryEntries {
+			s.Entries = append(s.Entries, model.SummaryEntry{
+				Instance: x.Instance,
+				Leaving:  x.leaving,
+				Pools:    x.digest.Pools,
+			})
+		}
+	}
+	for _, x := range r.members.live(r.now) {
+		if x.version < newest {
+			s.Laggards = append(s.Laggards, x.Name)
+		}
+	}
+	if r.head.Version < newest {
+		s.Laggards = append(s.Laggards, r.Self.Name)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/reducer/lookup.go
@@ -0,0 +1,69 @@
+package reducer
+
+import (
+	"net/netip"
+
+	"github.com/yuccathread/yuccathread/internal/message"
+	"github.com/yuccathread/yuccathread/internal/model"
+)
+
+// lookedUp answers which instances a client should use, best first: those of
+// the failure domain nearest to it, then of its region, then of the others.
+func (r *Reducer) lookedUp(e message.LookedUp) {
+	if r.policy == nil {
+		r.emit(message.AnswerLookUp{ID: e.ID, Code: model.CodeNotReady})
+		return
+	}
+	k, ok := r.policy.kinds[e.Kind]
+	if !ok {
+		r.emit(message.AnswerLookUp{ID: e.ID, Code: model.CodeUnknownKind})
+		return
+	}
+	home := r.policy.home(e.Client, r.Self.Domain)
+	entries := make([]model.Instance, 0, r.policy.LookUp.Entries)
+	for _, domain := range r.policy.order(k, home) {
+		if len(entries) == cap(entries) {
+			break
+		}
+		entries = r.appendEntries(entries, domain, e.Random)
+	}
+	if len(entries) == 0 && !r.stopping.active {
+		entries = append(entries, r.Self)
+	}
+	r.emit(message.AnswerLookUp{
+		ID:      e.ID,
+		Entries: entries,
+		Home:    home,
+		TTL:     r.policy.LookUp.TTL.Duration,
+		Version: r.policy.version,
+		Code:    model.CodeOK,
+	})
+}
+
+// appendEntries adds a failure domain's instances, starting at a random one.
+func (r *Reducer) appendEntries(entries []model.Instance, domain string, random uint64) []model.Instance {
+	var known []model.Instance
+	if domain == r.Self.Domain && !r.stopping.active {
+		known = append(known, r.Self)
+	}
+	for _, x := range r.members.in(r.now, domain) {
+		if x.ready && !x.leaving {
+			known = append(known, x.Instance)
+		}
+	}
+	for i := range known {
+		if len(entries) == cap(entries) {
+			break
+		}
+		entries = append(entries, known[(random+uint64(i))%uint64(len(known))])
+	}
+	return entries
+}
+
+// Home returns the failure domain nearest to a client.
+func (r *Reducer) Home(client netip.Addr) string {
+	if r.policy == nil {
+		return r.Self.Domain
+	}
+	return r.policy.home(client, r.Self.Domain)
+}
--- /dev/null
+++ b/internal/reducer/membership.go
@@ -0,0 +1,267 @@
+package reducer
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/yuccathread/yuccathread/internal/estimator"
+	"github.com/yuccathread/yuccathread/internal/model"
+)
+
+const (
+	// suspectAfter is the silence after which an instance of the own failure
+	// domain is taken for dead.
+	suspectAfter = 3 * time.Second
+	// remoteFresh is the age up to which another failure domain's summary is used.
+	remoteFresh = 6 * time.Second
+	// memberHold leaves an instance alone for a service after it refused work.
+	memberHold = 150 * time.Millisecond
+	// delegates is the number of instances that speak for their failure
+	// domain: they read the store and the list, and gossip with other domains.
+	delegates = 2
+	// nearRoundTrip and farRoundTrip stand in until round trips are measured.
+	nearRoundTrip = 2 * time.Millisecond
+	farRoundTrip  = 100 * time.Millisecond
+)
+
+// member is another instance as this one sees it.
+type member struct {
+	model.Instance
+
+	leaving  bool
+	ready    bool
+	sequence uint64
+	heard    time.Time
+	version  int64
+	revision int64
+	pools    map[string]model.Pool
+	digest   model.Digest
+
+	roundTrip estimator.Estimator
+	sent      map[string]int
+	// sentBefore is sent as it was when pools was heard.
+	sentBefore map[string]int
+	held       map[string]time.Time
+}
+
+// domainView is another failure domain as its summary describes it.
+type domainView struct {
+	model.Summary
+
+	heard   time.Time
+	members map[string]*member
+}
+
+// membership is what an instance knows of the others.
+type membership struct {
+	own     map[string]*member
+	domains map[string]*domainView
+	seeds   map[string][]model.Instance
+}
+
+func (m *membership) start() {
+	m.own = make(map[string]*member)
+	m.domains = make(map[string]*domainView)
+	m.seeds = make(map[string][]model.Instance)
+}
+
+func newMember(i model.Instance, roundTrip time.Duration) *member {
+	return &member{
+		Instance:   i,
+		roundTrip:  estimator.Estimator{Initial: roundTrip},
+		sent:       make(map[string]int),
+		sentBefore: make(map[string]int),
+		held:       make(map[string]time.Time),
+	}
+}
+
+func (x *member) send(service string) {
+	x.sent[service]++
+}
+
+func (x *member) receive(service string) {
+	x.sent[service] = max(0, x.sent[service]-1)
+}
+
+func (x *member) refuse(now time.Time, service string) {
+	x.held[service] = now.Add(memberHold)
+}
+
+// update takes over the pools of a newer digest or summary.
+func (x *member) update(pools []model.Pool) {
+	x.pools = make(map[string]model.Pool, len(pools))
+	for _, p := range pools {
+		x.pools[p.Service] = p
+	}
+	maps.Copy(x.sentBefore, x.sent)
+}
+
+// free estimates the free slots at an instance: what it reported, corrected
+// by what was sent there and answered since.
+func (x *member) free(now time.Time, service string) int {
+	p, ok := x.pools[service]
+	if !ok || x.leaving || !x.ready || now.Before(x.held[service]) {
+		return 0
+	}
+	return p.Slots - p.Busy - p.Queued - (x.sent[service] - x.sentBefore[service])
+}
+
+// in returns the instances of a failure domain that were heard of lately.
+func (m *membership) in(now time.Time, domain string) []*member {
+	var found []*member
+	view, ok := m.domains[domain]
+	if ok {
+		if now.Sub(view.heard) > remoteFresh {
+			return nil
+		}
+		return sorted(view.members)
+	}
+	for _, x := range sorted(m.own) {
+		if x.Domain == domain && now.Sub(x.heard) < suspectAfter {
+			found = append(found, x)
+		}
+	}
+	return found
+}
+
+func sorted(members map[string]*member) []*member {
+	return slices.SortedFunc(maps.Values(members), func(a, b *member) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+}
+
+// free returns the instance of a failure domain with most free slots, or nil.
+func (m *membership) free(now time.Time, domain, service string, tried []string) *member {
+	var best *member
+	most := 0
+	for _, x := range m.in(now, domain) {
+		if slices.Contains(tried, x.Name) {
+			continue
+		}
+		if n := x.free(now, service); n > most {
+			best, most = x, n
+		}
+	}
+	return best
+}
+
+// leastQueued returns the instance with the shortest queue per slot, or nil.
+func (m *membership) leastQueued(now time.Time, domain, service string, tried []string) *member {
+	var best *member
+	least := 0.0
+	for _, x := range m.in(now, domain) {
+		p, ok := x.pools[service]
+		if !ok || p.Slots == 0 || x.leaving || !x.ready || slices.Contains(tried, x.Name) {
+			continue
+		}
+		if now.Before(x.held[service]) {
+			continue
+		}
+		load := float64(p.Busy+p.Queued+x.sent[service]) / float64(p.Slots)
+		if best == nil || load < least {
+			best, least = x, load
+		}
+	}
+	return best
+}
+
+// serves reports whether a failure domain has any server of a service in use.
+func (m *membership) serves(now time.Time, domain, service string) bool {
+	for _, x := range m.in(now, domain) {
+		if x.pools[service].Slots > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// find returns the instance with this name and incarnation, or nil.
+func (m *membership) find(name, incarnation string) *member {
+	x, ok := m.own[name]
+	if ok && x.Incarnation == incarnation {
+		return x
+	}
+	for _, view := range m.domains {
+		x, ok = view.members[name]
+		if ok && x.Incarnation == incarnation {
+			return x
+		}
+	}
+	return nil
+}
+
+// alive reports whether an incarnation was heard of lately.
+func (m *membership) alive(now time.Time, name, incarnation string) bool {
+	x := m.find(name, incarnation)
+	if x == nil {
+		return false
+	}
+	return slices.Contains(m.in(now, x.Domain), x)
+}
+
+// live returns the own failure domain's other instances that were heard lately.
+func (m *membership) live(now time.Time) []*member {
+	var found []*member
+	for _, x := range sorted(m.own) {
+		if now.Sub(x.heard) < suspectAfter {
+			found = append(found, x)
+		}
+	}
+	return found
+}
+
+// shares returns where the fleet sends a flow, by failure domain.
+func (m *membership) shares(now time.Time, f flow) map[string]float64 {
+	totals := make(map[string]float64)
+	for _, x := range m.live(now) {
+		addShares(totals, x.digest.Shares, f)
+	}
+	for _, view := range m.domains {
+		if now.Sub(view.heard) <= remoteFresh {
+			addShares(totals, view.Shares, f)
+		}
+	}
+	return totals
+}
+
+func addShares(totals map[string]float64, shares []model.Share, f flow) {
+	for _, s := range shares {
+		if s.Service == f.service && s.Home == f.home {
+			totals[s.Domain] += s.Fraction * float64(s.Arrivals)
+		}
+	}
+}
+
+// delegate reports whether this instance speaks for its failure domain.
+func (r *Reducer) delegate() bool {
+	ahead := 0
+	for _, x := range r.members.live(r.now) {
+		if x.Name < r.Self.Name && !x.leaving {
+			ahead++
+		}
+	}
+	return ahead < delegates
+}
+
+// scribe reports whether this instance writes its failure domain's table.
+func (r *Reducer) scribe() bool {
+	for _, x := range r.members.live(r.now) {
+		if x.Name < r.Self.Name && !x.leaving {
+			return false
+		}
+	}
+	return true
+}
+
+// resume starts the clocks of silence anew after a pause of this process.
+func (r *Reducer) resume() {
+	r.note("resumed", "", r.Self.Name, "the process was paused", "")
+	for _, x := range r.members.own {
+		x.heard = r.now
+	}
+	for _, view := range r.members.domains {
+		view.heard = r.now
+	}
+}
--- /dev/null
+++ b/internal/reducer/placement.go
@@ -0,0 +1,313 @@
+package reducer
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/yuccathread/yuccathread/internal/message"
+	"github.com/yuccathread/yuccathread/internal/model"
+	"github.com/yuccathread/yuccathread/internal/shifter"
+)
+
+const (
+	// envelopeBytes is added to a body for its headers.
+	envelopeBytes = 512
+	// spillFactor is how many round trips of waiting here are better than
+	// going to another region.
+	spillFactor = 1
+)
+
+// place decides where work runs: at once on an own server, at another
+// instance, later here, or not at all.
+func (r *Reducer) place(w *work) {
+	if w.request.Hops > 0 {
+		r.placeHere(w)
+		return
+	}
+	reason := r.placeAnywhere(w)
+	if reason == "" {
+		return
+	}
+	if reason == model.CodeShiftCap {
+		r.shifter(w).Refuse(w.kind.rank)
+	}
+	r.refuse(w, reason, "")
+}
+
+// placeHere admits work that another instance handed on. Only own servers
+// count: what they can take is known here and nowhere else.
+func (r *Reducer) placeHere(w *work) {
+	p := r.pool(w.kind.Service)
+	if len(p.servers) == 0 {
+		r.refuse(w, model.CodeNoUpstream, "")
+		return
+	}
+	if !r.reserveAnswer(w) {
+		r.refuse(w, model.CodeLinkLimit, w.request.OriginRegion)
+		return
+	}
+	if !r.runHere(w, p) && !r.enqueue(w, p) {
+		r.refuse(w, model.CodeOverloaded, "")
+	}
+}
+
+// placeAnywhere tries the failure domains in order and returns the reason
+// where none takes the work.
+func (r *Reducer) placeAnywhere(w *work) model.Code {
+	reason := model.CodeNoUpstream
+	p := r.pool(w.kind.Service)
+	order := r.policy.order(w.kind, w.request.Home)
+	for _, domain := range order {
+		code := r.tryDomain(w, p, domain)
+		if code == "" {
+			return ""
+		}
+		reason = worse(reason, code)
+	}
+	if slices.Contains(order, r.Self.Domain) && r.take(w, r.Self.Domain) {
+		if r.enqueue(w, p) {
+			return ""
+		}
+		r.untake(w)
+	}
+	for _, domain := range order {
+		if len(p.servers) > 0 || reason == model.CodeShiftCap {
+			break
+		}
+		if r.forwardToQueue(w, domain) {
+			return ""
+		}
+	}
+	return reason
+}
+
+// worse returns the reason that explains a refusal best.
+func worse(a, b model.Code) model.Code {
+	order := []model.Code{
+		model.CodeNoUpstream,
+		model.CodeOverloaded,
+		model.CodeLinkLimit,
+		model.CodeShiftCap,
+	}
+	if slices.Index(order, b) > slices.Index(order, a) {
+		return b
+	}
+	return a
+}
+
+func (r *Reducer) tryDomain(w *work, p *pool, domain string) model.Code {
+	if domain == r.Self.Domain {
+		return r.tryOwnDomain(w, p)
+	}
+	m := r.freeMember(w, domain)
+	if m == nil {
+		return r.emptyReason(w.kind.Service, domain)
+	}
+	if r.betterHere(w, p, m) {
+		return ""
+	}
+	return r.tryMember(w, m, "free slots there")
+}
+
+func (r *Reducer) tryOwnDomain(w *work, p *pool) model.Code {
+	if r.freeServer(p) != nil {
+		if !r.take(w, r.Self.Domain) {
+			return model.CodeShiftCap
+		}
+		if r.runHere(w, p) {
+			return ""
+		}
+		r.untake(w)
+	}
+	m := r.freeMember(w, r.Self.Domain)
+	if m == nil {
+		return r.emptyReason(w.kind.Service, r.Self.Domain)
+	}
+	return r.tryMember(w, m, "free slots at a sibling")
+}
+
+func (r *Reducer) emptyReason(service, domain string) model.Code {
+	if r.members.serves(r.now, domain, service) {
+		return model.CodeOverloaded
+	}
+	return model.CodeNoUpstream
+}
+
+// betterHere lets work wait here where that costs less than another region's
+// round trip.
+func (r *Reducer) betterHere(w *work, p *pool, m *member) bool {
+	if m.Region == r.Self.Region {
+		return false
+	}
+	wait, ok := r.expectedWait(w, p)
+	if !ok || wait > spillFactor*m.roundTrip.Mean() {
+		return false
+	}
+	if !r.take(w, r.Self.Domain) {
+		return false
+	}
+	if r.enqueue(w, p) {
+		return true
+	}
+	r.untake(w)
+	return false
+}
+
+func (r *Reducer) tryMember(w *work, m *member, reason string) model.Code {
+	if !r.take(w, m.Domain) {
+		return model.CodeShiftCap
+	}
+	if m.Region != r.Self.Region && !r.linker.Reserve(r.now, m.Region, w.request.BodyBytes+envelopeBytes) {
+		r.untake(w)
+		return model.CodeLinkLimit
+	}
+	r.forward(w, m, reason)
+	return ""
+}
+
+// forwardToQueue hands work to the instance with the shortest queue, for
+// instances that have no own server of the service.
+func (r *Reducer) forwardToQueue(w *work, domain string) bool {
+	m := r.members.leastQueued(r.now, domain, w.kind.Service, w.tried)
+	if m == nil || m.Name == r.Self.Name {
+		return false
+	}
+	return r.tryMember(w, m, "shortest queue") == ""
+}
+
+func (r *Reducer) freeMember(w *work, domain string) *member {
+	return r.members.free(r.now, domain, w.kind.Service, w.tried)
+}
+
+func (r *Reducer) runHere(w *work, p *pool) bool {
+	s := r.freeServer(p)
+	if s == nil || slices.Contains(w.tried, s.Name) && len(p.servers) > 1 {
+		return false
+	}
+	if p.queue.Len() == 0 {
+		r.dispatch(w, s, "free slot")
+		return true
+	}
+	if !r.enqueue(w, p) {
+		return false
+	}
+	r.pump(p)
+	return true
+}
+
+func (r *Reducer) dispatch(w *work, s *server, reason string) {
+	w.state = dispatched
+	w.attempt++
+	w.server = s
+	w.started = r.now
+	s.inFlight++
+	r.countTry(w)
+	r.note("dispatched", w.request.ID, s.Name, reason, r.placementInputs(s))
+	r.emit(message.Dispatch{
+		ID:       w.request.ID,
+		Attempt:  w.attempt,
+		Server:   s.Server,
+		Kind:     w.request.Kind,
+		Key:      w.request.Key,
+		Decided:  r.now,
+		Deadline: w.request.Deadline,
+	})
+}
+
+func (r *Reducer) placementInputs(s *server) string {
+	return "in_flight=" + strconv.Itoa(s.inFlight) + " slots=" + strconv.Itoa(s.slots)
+}
+
+func (r *Reducer) forward(w *work, m *member, reason string) {
+	w.state = forwarded
+	w.attempt++
+	w.peer = m
+	w.started = r.now
+	m.send(w.kind.Service)
+	r.countTry(w)
+	request := w.request
+	request.ID += "/" + strconv.Itoa(w.attempt)
+	request.Origin = r.Self.Name
+	request.OriginRegion = r.Self.Region
+	request.Bound = w.bound
+	if !w.bound {
+		request.Hops++
+	}
+	r.note("forwarded", w.request.ID, m.Name, reason, "")
+	r.emit(message.Forward{
+		ID:       w.request.ID,
+		Attempt:  w.attempt,
+		Peer:     m.Instance,
+		Request:  request,
+		Decided:  r.now,
+		Deadline: w.request.Deadline,
+	})
+}
+
+func (r *Reducer) countTry(w *work) {
+	if w.attempt == 1 {
+		r.budget(w.kind.Service).Deposit()
+	}
+}
+
+// reserveAnswer reserves the expected answer on the link back to the origin.
+func (r *Reducer) reserveAnswer(w *work) bool {
+	if w.request.OriginRegion == "" || w.request.OriginRegion == r.Self.Region {
+		return true
+	}
+	expected := w.kind.AnswerBytes + envelopeBytes
+	if !r.linker.Reserve(r.now, w.request.OriginRegion, expected) {
+		return false
+	}
+	w.linkReserved = expected
+	return true
+}
+
+// take charges the request to a failure domain, if the shift cap allows it.
+func (r *Reducer) take(w *work, domain string) bool {
+	if !r.shifter(w).Take(domain, w.kind.rank) {
+		return false
+	}
+	w.domain = domain
+	return true
+}
+
+func (r *Reducer) untake(w *work) {
+	if w.domain == "" {
+		return
+	}
+	r.shifter(w).Return(w.domain)
+	w.domain = ""
+}
+
+func (r *Reducer) shifter(w *work) *shifter.Shifter {
+	return r.flow(flow{service: w.kind.Service, home: w.request.Home})
+}
+
+// flow returns the shifter of a flow. A new one starts from where the rest of
+// the fleet reports that the traffic goes.
+func (r *Reducer) flow(f flow) *shifter.Shifter {
+	s, ok := r.shifters[f]
+	if !ok {
+		s = &shifter.Shifter{Home: f.home}
+		s.Adopt(r.members.shares(r.now, f))
+		r.shifters[f] = s
+	}
+	s.Cap = r.policy.Shift.Cap
+	s.Period = r.policy.Shift.Period.Duration
+	s.Minimum = r.policy.Shift.MinimumRequests
+	s.Advance(r.now)
+	return s
+}
+
+// retryAfter is when a refused caller may try again.
+func (r *Reducer) retryAfter(code model.Code) time.Duration {
+	switch code {
+	case model.CodeShiftCap:
+		return r.policy.Shift.Period.Duration
+	case model.CodeOverloaded, model.CodeLinkLimit, model.CodeNoUpstream, model.CodeClaimLimit:
+		return time.Second
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/reducer/pool.go
@@ -0,0 +1,247 @@
+package reducer
+
+import (
+	"math"
+	"time"
+
+	"github.com/yuccathread/yuccathread/internal/ejector"
+	"github.com/yuccathread/yuccathread/internal/message"
+	"github.com/yuccathread/yuccathread/internal/model"
+	"github.com/yuccathread/yuccathread/internal/scheduler"
+)
+
+const (
+	// abandonedHold keeps a slot taken after its exchange was cut off from
+	// this side, until the server has noticed.
+	abandonedHold = 50 * time.Millisecond
+	// refusalHold leaves a server alone after it refused work.
+	refusalHold = 100 * time.Millisecond
+	// loadFresh is the age up to which a load report is believed.
+	loadFresh = 3 * time.Second
+	// cautionPeriod is how long after a takeover without acknowledgement the
+	// server's own count of busy slots is taken into account.
+	cautionPeriod = 30 * time.Second
+	// initialDuration stands in for the time of a kind never seen before.
+	initialDuration = 20 * time.Millisecond
+)
+
+// pool is one service's own servers and the work that waits for them.
+type pool struct {
+	service model.Service
+	servers []*server
+	queue   scheduler.Scheduler[*work]
+}
+
+// server is an upstream server that this instance owns, or owned while
+// requests are still in flight there.
+type server struct {
+	model.Assignment
+	ejector.Ejector
+
+	slots    int
+	inFlight int
+	// foreign counts requests in flight of the owners before.
+	foreign map[string]int
+	owned   bool
+	// usable is the time from which no earlier owner dispatches any more.
+	usable   time.Time
+	cautious time.Time
+	cold     time.Time
+	draining bool
+	refused  time.Time
+
+	reportedBusy int
+	reportedAt   time.Time
+}
+
+// allowed returns the number of slots that may be in use now.
+func (s *server) allowed(now time.Time, recovery model.Recovery) int {
+	if !s.owned || s.Leaving || s.draining || s.Ejected(now) {
+		return 0
+	}
+	if now.Before(s.usable) || now.Before(s.refused) {
+		return 0
+	}
+	return s.ramp(now, recovery.SlowStart.Duration)
+}
+
+// ramp grows the slots of a cold or returned server from one to all.
+func (s *server) ramp(now time.Time, period time.Duration) int {
+	start := s.cold
+	if returned := s.Returned(); returned.After(start) {
+		start = returned
+	}
+	warm := now.Sub(start)
+	if warm >= period || period == 0 {
+		return s.slots
+	}
+	n := int(math.Ceil(float64(s.slots) * float64(warm) / float64(period)))
+	return max(1, n)
+}
+
+// busy returns the slots known to be in use, by whomever.
+func (s *server) busy(now time.Time) int {
+	busy := s.inFlight
+	for _, n := range s.foreign {
+		busy += n
+	}
+	if now.Before(s.cautious) && now.Sub(s.reportedAt) < loadFresh {
+		busy = max(busy, s.reportedBusy)
+	}
+	return busy
+}
+
+func (r *Reducer) pool(service string) *pool {
+	p, ok := r.pools[service]
+	if !ok {
+		p = &pool{}
+		r.pools[service] = p
+	}
+	if r.policy != nil {
+		p.service = r.policy.services[service]
+		p.queue.Floors = r.policy.floors
+	}
+	return p
+}
+
+// freeServer returns the own server with the smallest part of its slots in
+// use, or nil if none has a free one.
+func (r *Reducer) freeServer(p *pool) *server {
+	if !r.leaser.Valid(r.now) {
+		return nil
+	}
+	var best *server
+	bestUse := 1.0
+	for _, s := range p.servers {
+		allowed := s.allowed(r.now, r.policy.Recovery)
+		busy := s.busy(r.now)
+		if busy >= allowed {
+			continue
+		}
+		if use := float64(busy) / float64(allowed); best == nil || use < bestUse {
+			best, bestUse = s, use
+		}
+	}
+	return best
+}
+
+// capacity returns the slots that may be in use and those that are.
+func (r *Reducer) capacity(p *pool) (allowed, busy int) {
+	if !r.leaser.Valid(r.now) {
+		return 0, 0
+	}
+	for _, s := range p.servers {
+		n := s.allowed(r.now, r.policy.Recovery)
+		allowed += n
+		busy += min(n, s.busy(r.now))
+	}
+	return allowed, busy
+}
+
+// pump dispatches waiting work while there are free slots.
+func (r *Reducer) pump(p *pool) {
+	for p.queue.Len() > 0 {
+		s := r.freeServer(p)
+		if s == nil {
+			return
+		}
+		item, _ := p.queue.Pop()
+		w := item.Value
+		if r.tooLate(w) {
+			r.refuse(w, model.CodeDeadline, "waited too long for a slot")
+			continue
+		}
+		r.dispatch(w, s, "waited")
+	}
+}
+
+// tooLate reports whether work would probably miss its deadline if it started now.
+func (r *Reducer) tooLate(w *work) bool {
+	return w.request.Deadline.Sub(r.now) < r.duration(w.kind.Name).Bound()
+}
+
+// enqueue lets work wait for an own slot if it can expect one in time.
+func (r *Reducer) enqueue(w *work, p *pool) bool {
+	if p.queue.Waiting(w.kind.rank, w.kind.Name) >= w.kind.QueueLimit {
+		return false
+	}
+	wait, ok := r.expectedWait(w, p)
+	if !ok || r.now.Add(wait+r.duration(w.kind.Name).Mean()).After(w.request.Deadline) {
+		return false
+	}
+	w.state = waiting
+	w.pool = p
+	p.queue.Push(scheduler.Item[*work]{
+		ID:    w.request.ID,
+		Rank:  w.kind.rank,
+		Kind:  w.kind.Name,
+		Cost:  r.duration(w.kind.Name).Mean(),
+		Value: w,
+	})
+	r.emit(message.Timer{At: w.request.Deadline, Event: message.Expired{ID: w.request.ID}})
+	return true
+}
+
+// expectedWait estimates the time until an own slot is free for the work. It
+// returns false where no own server can take any.
+func (r *Reducer) expectedWait(w *work, p *pool) (time.Duration, bool) {
+	slots := 0
+	for _, s := range p.servers {
+		if s.owned && !s.Leaving && !s.draining && !s.Ejected(r.now) {
+			slots += s.slots
+		}
+	}
+	if slots == 0 || !r.leaser.Valid(r.now) {
+		return 0, false
+	}
+	ahead := p.queue.Ahead(w.kind.rank, w.kind.Name)
+	mean := r.duration(w.kind.Name).Mean()
+	return time.Duration(ahead * float64(mean) / float64(slots)), true
+}
+
+func (r *Reducer) releaseSlot(s *server, abandoned bool) {
+	if abandoned {
+		r.emit(message.Timer{
+			At:    r.now.Add(abandonedHold),
+			Event: message.SlotFreed{Server: s.Name},
+		})
+		return
+	}
+	r.slotFreed(s.Name)
+}
+
+func (r *Reducer) slotFreed(name string) {
+	s, ok := r.servers[name]
+	if !ok {
+		return
+	}
+	s.inFlight = max(0, s.inFlight-1)
+	if !s.owned && s.inFlight == 0 {
+		delete(r.servers, name)
+		return
+	}
+	r.pump(r.pool(s.Service))
+}
+
+func (r *Reducer) loadReported(e message.LoadReported) {
+	s, ok := r.servers[e.Server]
+	if !ok {
+		return
+	}
+	s.reportedBusy = e.Busy
+	s.reportedAt = r.now
+	r.markDraining(s, e.Draining)
+}
+
+func (r *Reducer) markDraining(s *server, draining bool) {
+	if s.draining == draining {
+		return
+	}
+	s.draining = draining
+	if draining {
+		r.note("server_draining", "", s.Name, "reported by the server", "")
+		return
+	}
+	s.cold = r.now
+	r.note("server_returned", "", s.Name, "reported by the server", "")
+}
--- /dev/null
+++ b/internal/reducer/reducer.go
@@ -0,0 +1,196 @@
+// Package reducer takes every decision of an entry instance: one function
+// from an event and the state before it to effects.
+//
+// The reducer has no clock, socket, goroutine or random source. Time comes
+// with each event, random numbers come in the events that need them, and
+// effects are data (see package message). The same code therefore runs in the
+// daemon, in golden sessions and in measurements under a virtual clock.
+//
+// Usage:
+//
+//	r := &reducer.Reducer{Self: self, StopLimit: 30 * time.Second}
+//	effects := r.Reduce(now, message.StopRequested{})
+//
+// The files follow the topics: admission and placement of work, pools of own
+// servers, completion, once-only work, look-ups, membership and gossip, the
+// domain's table, configuration, and stopping.
+//
+// A Reducer is not safe for concurrent use; its shell serializes events. The
+// returned slice is valid until the next call.
+package reducer
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/yuccathread/yuccathread/internal/assigner"
+	"github.com/yuccathread/yuccathread/internal/budgeter"
+	"github.com/yuccathread/yuccathread/internal/estimator"
+	"github.com/yuccathread/yuccathread/internal/keeper"
+	"github.com/yuccathread/yuccathread/internal/leaser"
+	"github.com/yuccathread/yuccathread/internal/linker"
+	"github.com/yuccathread/yuccathread/internal/message"
+	"github.com/yuccathread/yuccathread/internal/model"
+	"github.com/yuccathread/yuccathread/internal/shifter"
+	"github.com/yuccathread/yuccathread/internal/stamper"
+	"github.com/yuccathread/yuccathread/internal/ticketer"
+)
+
+const (
+	// keeperLimit bounds the once-only records in memory.
+	keeperLimit = 200_000
+	// linkBurst is the time's worth of a link's limit that may pass at once.
+	linkBurst = 250 * time.Millisecond
+)
+
+// Reducer is the state of one entry instance. Set the exported fields before
+// the first event.
+type Reducer struct {
+	Self model.Instance
+	// StopLimit bounds a graceful shutdown.
+	StopLimit time.Duration
+
+	now     time.Time
+	started time.Time
+	effects []message.Effect
+	stamper stamper.Stamper
+
+	policy *policy
+	head   model.Head
+
+	works     map[string]*work
+	pools     map[string]*pool
+	servers   map[string]*server
+	shifters  map[flow]*shifter.Shifter
+	durations map[string]*estimator.Estimator
+	retries   map[string]*budgeter.Budgeter
+	linker    linker.Linker
+
+	keeper    keeper.Keeper
+	ticketer  ticketer.Ticketer
+	claims    *rate.Limiter
+	unsettled map[string]model.Claim
+	retained  map[string]bool
+
+	members   membership
+	leaser    leaser.Leaser
+	assigner  assigner.Assigner
+	table     tableState
+	schedules schedules
+
+	stopping stopping
+}
+
+// flow names the traffic that one shifter follows.
+type flow struct {
+	service string
+	home    string
+}
+
+// Reduce takes in one event and returns what is to be done.
+func (r *Reducer) Reduce(now time.Time, e message.Event) []message.Effect {
+	if r.works == nil {
+		r.start(now)
+	}
+	r.now = now
+	r.effects = r.effects[:0]
+	if r.leaser.Run(now) {
+		r.resume()
+	}
+	r.reduce(e)
+	return r.effects
+}
+
+func (r *Reducer) start(now time.Time) {
+	r.started = now
+	r.works = make(map[string]*work)
+	r.pools = make(map[string]*pool)
+	r.servers = make(map[string]*server)
+	r.shifters = make(map[flow]*shifter.Shifter)
+	r.durations = make(map[string]*estimator.Estimator)
+	r.retries = make(map[string]*budgeter.Budgeter)
+	r.unsettled = make(map[string]model.Claim)
+	r.retained = make(map[string]bool)
+	r.linker = linker.Linker{Burst: linkBurst}
+	r.keeper = keeper.Keeper{Limit: keeperLimit}
+	r.ticketer = ticketer.Ticketer{Instance: r.Self.Name, Incarnation: r.Self.Incarnation}
+	r.leaser = leaser.Leaser{Length: leaseLength, Pause: pauseLimit, Probation: takeoverDelay}
+	r.assigner = assigner.Assigner{Domain: r.Self.Domain}
+	r.members.start()
+}
+
+func (r *Reducer) reduce(e message.Event) {
+	switch e := e.(type) {
+	case message.Arrived:
+		r.arrive(e.Request)
+	case message.Answered:
+		r.answered(e)
+	case message.PeerAnswered:
+		r.peerAnswered(e)
+	case message.Expired:
+		r.expired(e.ID)
+	case message.CallerGone:
+		r.callerGone(e.ID)
+	case message.SlotFreed:
+		r.slotFreed(e.Server)
+	case message.LookedUp:
+		r.lookedUp(e)
+	case message.TicketAsked:
+		r.ticketAsked(e)
+	case message.Claimed:
+		r.claimed(e)
+	case message.Settled:
+		r.settled(e)
+	case message.StopRequested:
+		r.stopRequested()
+	default:
+		r.reduceControl(e)
+	}
+}
+
+func (r *Reducer) reduceControl(e message.Event) {
+	switch e := e.(type) {
+	case message.Ticked:
+		r.tick(e)
+	case message.Gossiped:
+		r.gossiped(e)
+	case message.GossipAnswered:
+		r.gossipAnswered(e)
+	case message.GossipFailed:
+		r.gossipFailed(e)
+	case message.ConfigurationSeen:
+		r.configurationSeen(e)
+	case message.TableRead:
+		r.tableRead(e)
+	case message.TableFetched:
+		r.tableFetched(e)
+	case message.TableWritten:
+		r.tableWritten(e)
+	case message.StoreFailed:
+		r.storeFailed(e)
+	case message.Listed:
+		r.listed(e)
+	case message.ListFailed:
+		r.listFailed(e)
+	case message.LoadReported:
+		r.loadReported(e)
+	}
+}
+
+func (r *Reducer) emit(x message.Effect) {
+	r.effects = append(r.effects, x)
+}
+
+// note puts a record on the time line.
+func (r *Reducer) note(kind, request, subject, reason, inputs string) {
+	r.emit(message.Note{Record: model.Record{
+		Stamp:    r.stamper.Next(r.now),
+		Instance: r.Self.Name,
+		Kind:     kind,
+		Request:  request,
+		Subject:  subject,
+		Reason:   reason,
+		Inputs:   inputs,
+	}})
+}
--- /dev/null
+++ b/internal/reducer/schedule.go
@@ -0,0 +1,137 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/yuccathread/yuccathread/internal/message"
+)
+
+const (
+	// storeInterval is the time between two readings of the store by a delegate.
+	storeInterval = time.Second
+	// listInterval is the time between two readings of the platform's list.
+	listInterval = time.Second
+	// loadInterval is the time between two load reports of one server.
+	loadInterval = time.Second
+	// forgetInterval is the time between two searches for expired records.
+	forgetInterval = 10 * time.Second
+	// bootInterval is storeInterval for an instance without a configuration.
+	bootInterval = 250 * time.Millisecond
+)
+
+// schedules holds the times at which periodic actions are due.
+type schedules struct {
+	gossip, store, list, load, seeds, settle, forget time.Time
+}
+
+// due reports whether an action's time has come and sets the next one.
+func (r *Reducer) due(next *time.Time, interval time.Duration) bool {
+	if r.now.Before(*next) {
+		return false
+	}
+	*next = r.now.Add(interval)
+	return true
+}
+
+func (r *Reducer) tick(e message.Ticked) {
+	s := &r.schedules
+	if r.due(&s.gossip, gossipInterval) {
+		r.gossip(e.Random)
+	}
+	r.tickPlatform()
+	if r.policy == nil {
+		return
+	}
+	if r.due(&s.load, loadInterval) {
+		r.pollLoads()
+	}
+	if r.due(&s.settle, settleRetry) {
+		r.settleAgain()
+	}
+	if r.due(&s.forget, forgetInterval) {
+		r.forgetKeys()
+	}
+	r.limitLinks()
+	for _, p := range r.pools {
+		r.pump(p)
+	}
+	r.checkStop()
+}
+
+// tickPlatform reads the store and the list where this instance is to do it.
+func (r *Reducer) tickPlatform() {
+	s := &r.schedules
+	booting := r.policy == nil || !r.table.read
+	if !r.delegate() && !booting {
+		return
+	}
+	interval := storeInterval
+	if booting {
+		interval = bootInterval
+	}
+	if r.due(&s.store, interval) {
+		r.emit(message.ReadConfiguration{Version: r.head.Version})
+		r.emit(message.ReadTable{})
+	}
+	if r.due(&s.list, listInterval) {
+		r.emit(message.ReadListing{Domain: r.Self.Domain})
+	}
+	if r.policy != nil && r.due(&s.seeds, seedInterval) {
+		r.readSeeds()
+	}
+	r.plan()
+}
+
+// readSeeds looks for instances of failure domains that nothing is heard of.
+func (r *Reducer) readSeeds() {
+	for _, region := range r.policy.Regions {
+		for _, domain := range region.Domains {
+			view, ok := r.members.domains[domain]
+			heard := ok && r.now.Sub(view.heard) <= remoteFresh
+			if domain != r.Self.Domain && !heard {
+				r.emit(message.ReadListing{Domain: domain})
+			}
+		}
+	}
+}
+
+func (r *Reducer) pollLoads() {
+	for _, a := range r.table.table.Assignments {
+		if s, ok := r.servers[a.Name]; ok && s.owned {
+			r.emit(message.PollLoad{Server: s.Server})
+		}
+	}
+}
+
+// limitLinks sets this instance's shares of the links out of its region.
+func (r *Reducer) limitLinks() {
+	instances := r.regionInstances()
+	for key, bytesPerSecond := range r.policy.links {
+		if key.from == r.Self.Region {
+			r.linker.Limit(r.now, key.to, bytesPerSecond/float64(instances))
+		}
+	}
+}
+
+// regionInstances counts the instances that share the region's links: all
+// that are known, heard of lately or not, so that a cut does not free shares.
+func (r *Reducer) regionInstances() int {
+	names := map[string]bool{r.Self.Name: true}
+	for _, domain := range r.policy.domains[r.Self.Region] {
+		for _, x := range r.members.seeds[domain] {
+			names[x.Name] = true
+		}
+		if view, ok := r.members.domains[domain]; ok {
+			for name := range view.members {
+				names[name] = true
+			}
+		}
+	}
+	for name := range r.members.own {
+		names[name] = true
+	}
+	for _, x := range r.table.table.Members {
+		names[x.Name] = true
+	}
+	return len(names)
+}
--- /dev/null
+++ b/internal/reducer/status.go
@@ -0,0 +1,90 @@
+package reducer
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/yuccathread/yuccathread/internal/model"
+)
+
+// Status describes the instance and its view of the fleet.
+func (r *Reducer) Status() model.Status {
+	s := model.Status{
+		Instance:             r.Self,
+		Ready:                r.Ready(),
+		Leaving:              r.stopping.active,
+		ConfigurationVersion: r.head.Version,
+		TableRevision:        r.table.table.Revision,
+		LeaseValid:           r.leaser.Valid(r.now),
+		StoreAway:            r.leaser.Away(),
+		InFlight:             len(r.works),
+		OnceOnlyRecords:      r.keeper.Len(),
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.servers)) {
+		s.Servers = append(s.Servers, r.serverStatus(r.servers[name]))
+	}
+	for _, x := range sorted(r.members.own) {
+		s.Members = append(s.Members, model.MemberStatus{
+			Name:                 x.Name,
+			Address:              x.Address,
+			Alive:                r.now.Sub(x.heard) < suspectAfter,
+			Leaving:              x.leaving,
+			ConfigurationVersion: x.version,
+		})
+	}
+	if r.policy != nil {
+		s.Domains = r.domainStatuses()
+	}
+	return s
+}
+
+func (r *Reducer) serverStatus(s *server) model.ServerStatus {
+	status := model.ServerStatus{
+		Name:     s.Name,
+		Service:  s.Service,
+		InFlight: s.inFlight,
+		Draining: s.draining || s.Leaving,
+		Ejected:  s.Ejected(r.now),
+		Owned:    s.owned,
+	}
+	if r.policy != nil {
+		status.Allowed = s.allowed(r.now, r.policy.Recovery)
+	}
+	return status
+}
+
+func (r *Reducer) domainStatuses() []model.DomainStatus {
+	var statuses []model.DomainStatus
+	for _, domain := range slices.Sorted(maps.Keys(r.policy.regionOf)) {
+		if domain == r.Self.Domain {
+			statuses = append(statuses, r.ownDomainStatus())
+			continue
+		}
+		status := model.DomainStatus{Name: domain}
+		if view, ok := r.members.domains[domain]; ok {
+			status.Heard = r.now.Sub(view.heard) <= remoteFresh
+			status.OldestVersion = view.OldestVersion
+			status.Laggards = view.Laggards
+			for _, x := range sorted(view.members) {
+				status.Addresses = append(status.Addresses, x.Address)
+			}
+		}
+		statuses = append(statuses, status)
+	}
+	return statuses
+}
+
+func (r *Reducer) ownDomainStatus() model.DomainStatus {
+	summary := r.summary()
+	status := model.DomainStatus{
+		Name:          r.Self.Domain,
+		Heard:         true,
+		OldestVersion: summary.OldestVersion,
+		Laggards:      summary.Laggards,
+		Addresses:     []string{r.Self.Address},
+	}
+	for _, x := range r.members.live(r.now) {
+		status.Addresses = append(status.Addresses, x.Address)
+	}
+	return status
+}
--- /dev/null
+++ b/internal/storer/storer.go
@@ -0,0 +1,102 @@
+// Package storer is the client of the platform's key-value store: values with
+// revisions, compare-and-swap, and a time to live.
+//
+// A call has one of three ends: done, refused because the store holds another
+// revision (Conflict), or an error. After an error of Put the write may have
+// taken effect; callers read the key back before they decide.
+//
+// Usage:
+//
+//	s := storer.Storer{URL: "http://127.0.0.1:7000", Timeout: time.Second}
+//	value, err := s.Get(ctx, "configuration/head", 0)
+//	put, err := s.Put(ctx, "configuration/head", data, value.Revision, 0)
+package storer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/yuccathread/yuccathread/internal/model"
+)
+
+// maxValueBytes is the largest value that the platform holds, with its envelope.
+const maxValueBytes = 2 << 20
+
+// Storer calls the store over HTTP. Set the fields before the first call.
+type Storer struct {
+	URL string
+	// Timeout bounds each call.
+	Timeout time.Duration
+	Client  *http.Client
+}
+
+// Get reads a key. The value's Revision is 0 where the key does not exist,
+// and its Data is nil where it is not newer than the given revision.
+func (s *Storer) Get(ctx context.Context, key string, newerThan int64) (model.StoreValue, error) {
+	query := url.Values{"newer_than": {strconv.FormatInt(newerThan, 10)}}
+	return s.call(ctx, http.MethodGet, key, query, nil)
+}
+
+// Put writes a key if its revision is still expect (0: it does not exist). A
+// time to live of 0 keeps it for good. The result has Conflict set, and the
+// store's revision, where it is not.
+func (s *Storer) Put(ctx context.Context, key string, data []byte, expect int64, ttl time.Duration) (model.StoreValue, error) {
+	query := url.Values{"expect": {strconv.FormatInt(expect, 10)}}
+	if ttl > 0 {
+		query.Set("ttl_ms", strconv.FormatInt(ttl.Milliseconds(), 10))
+	}
+	return s.call(ctx, http.MethodPut, key, query, data)
+}
+
+func (s *Storer) call(ctx context.Context, method, key string, query url.Values, data []byte) (model.StoreValue, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
+	defer cancel()
+	target := s.URL + "/v1/keys/" + key + "?" + query.Encode()
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(data))
+	if err != nil {
+		return model.StoreValue{}, fmt.Errorf("storer: %w", err)
+	}
+	response, err := s.client().Do(request)
+	if err != nil {
+		return model.StoreValue{}, fmt.Errorf("storer: %w", err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxValueBytes))
+	if err != nil {
+		return model.StoreValue{}, fmt.Errorf("storer: %w", err)
+	}
+	return parse(response.StatusCode, body)
+}
+
+func parse(status int, body []byte) (model.StoreValue, error) {
+	var value model.StoreValue
+	switch status {
+	case http.StatusOK, http.StatusConflict, http.StatusNotModified:
+	case http.StatusNotFound:
+		return value, nil
+	default:
+		return value, fmt.Errorf("storer: the store answered %d", status)
+	}
+	if status == http.StatusNotModified {
+		return value, nil
+	}
+	if err := json.Unmarshal(body, &value); err != nil {
+		return model.StoreValue{}, fmt.Errorf("storer: malformed answer: %w", err)
+	}
+	value.Conflict = status == http.StatusConflict
+	return value, nil
+}
+
+func (s *Storer) client() *http.Client {
+	if s.Client != nil {
+		return s.Client
+	}
+	return http.DefaultClient
+}
