Add whole sessions under a virtual clock with random failures

Cause: nothing proved what holds when instances are killed, paused or cut off, or when the store is away, slow or loses answers.

The claim protocol moved out of the executor into a package of its own (claimer), so that sessions run the product's code. The decoder reads embedded structs.

--- /dev/null
+++ b/internal/claimer/claimer.go
@@ -0,0 +1,106 @@
+// Package claimer takes callers' own idempotency keys in the platform's store,
+// so that a key is decided about by one process only.
+//
+// A claim is a value created under the key. Whoever creates it holds the key;
+// the others learn the holder. After a lost answer the value is read back.
+//
+// Usage:
+//
+//	c := claimer.Claimer{Store: store}
+//	claimed := c.Claim(ctx, effect)
+//	settled := c.Settle(ctx, effect)
+package claimer
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+
+	"github.com/yuccathread/yuccathread/internal/message"
+	"github.com/yuccathread/yuccathread/internal/model"
+)
+
+// tries bounds the tries to learn what the store did with a claim.
+const tries = 3
+
+// Claimer claims keys. Set Store before the first call.
+type Claimer struct {
+	Store model.Store
+}
+
+func claimKey(key string) string {
+	return model.KeyClaims + base64.RawURLEncoding.EncodeToString([]byte(key))
+}
+
+// Claim takes a key by creating it. After a lost answer the key is read back:
+// the nonce tells an own write from another's.
+func (c *Claimer) Claim(ctx context.Context, e message.Claim) message.Claimed {
+	claimed := message.Claimed{ID: e.ID, Verdict: message.ClaimAway, Holder: e.Claim}
+	for range tries {
+		verdict, holder, err := c.try(ctx, e)
+		if err == nil {
+			claimed.Verdict = verdict
+			claimed.Holder = holder
+			break
+		}
+	}
+	return claimed
+}
+
+func (c *Claimer) try(ctx context.Context, e message.Claim) (message.ClaimVerdict, model.Claim, error) {
+	data, err := json.Marshal(e.Claim)
+	if err != nil {
+		return "", e.Claim, fmt.Errorf("claimer: %w", err)
+	}
+	put, err := c.Store.Put(ctx, claimKey(e.Claim.Key), data, 0, e.Lifetime)
+	if err != nil {
+		return "", e.Claim, err
+	}
+	if !put.Conflict {
+		return message.ClaimGranted, e.Claim, nil
+	}
+	holder, _, err := c.read(ctx, e.Claim.Key)
+	if err != nil {
+		return "", e.Claim, err
+	}
+	if holder.Nonce == e.Claim.Nonce && holder.Incarnation == e.Claim.Incarnation {
+		return message.ClaimGranted, holder, nil
+	}
+	return message.ClaimHeld, holder, nil
+}
+
+func (c *Claimer) read(ctx context.Context, key string) (model.Claim, int64, error) {
+	var claim model.Claim
+	value, err := c.Store.Get(ctx, claimKey(key), 0)
+	if err != nil {
+		return claim, 0, err
+	}
+	if value.Revision == 0 {
+		return claim, 0, fmt.Errorf("claimer: the claim on %q is gone", key)
+	}
+	if err := json.Unmarshal(value.Data, &claim); err != nil {
+		return claim, 0, fmt.Errorf("claimer: malformed claim: %w", err)
+	}
+	return claim, value.Revision, nil
+}
+
+// Settle writes a claim's outcome, unless the claim is another's by now.
+func (c *Claimer) Settle(ctx context.Context, e message.Settle) message.Settled {
+	settled := message.Settled{Key: e.Claim.Key}
+	claim, revision, err := c.read(ctx, e.Claim.Key)
+	if err != nil {
+		return settled
+	}
+	if claim.Nonce != e.Claim.Nonce || claim.Outcome == e.Claim.Outcome {
+		settled.OK = true
+		return settled
+	}
+	data, err := json.Marshal(e.Claim)
+	if err != nil {
+		return settled
+	}
+	put, err := c.Store.Put(ctx, claimKey(e.Claim.Key), data, revision, e.Lifetime)
+	settled.OK = err == nil && !put.Conflict
+	return settled
+}
--- a/internal/decoder/decoder.go
+++ b/internal/decoder/decoder.go
@@ -16,6 +16,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"reflect"
 	"strconv"
 	"strings"
@@ -173,6 +174,10 @@
 func jsonFields(t reflect.Type) map[string]reflect.Type {
 	fields := make(map[string]reflect.Type)
 	for f := range t.Fields() {
+		if f.Anonymous && f.Tag.Get("json") == "" {
+			maps.Copy(fields, jsonFields(f.Type))
+			continue
+		}
 		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
 		if name != "" && name != "-" {
 			fields[name] = f.Type
--- a/internal/executor/platform.go
+++ b/internal/executor/platform.go
@@ -2,23 +2,19 @@
 
 import (
 	"context"
-	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 
+	"github.com/yuccathread/yuccathread/internal/claimer"
 	"github.com/yuccathread/yuccathread/internal/message"
 	"github.com/yuccathread/yuccathread/internal/model"
 	"github.com/yuccathread/yuccathread/internal/patcher"
 )
 
-const (
-	// claimTries bounds the tries to learn what the store did with a claim.
-	claimTries = 3
-	// maxLoadBytes bounds a server's load report.
-	maxLoadBytes = 4096
-)
+// maxLoadBytes bounds a server's load report.
+const maxLoadBytes = 4096
 
 // headCache is the head's newest revision seen in the store.
 type headCache struct {
@@ -158,80 +154,14 @@
 	return report, nil
 }
 
-func claimKey(key string) string {
-	return model.KeyClaims + base64.RawURLEncoding.EncodeToString([]byte(key))
-}
-
-// claim takes a key by creating it. After a lost answer the key is read back:
-// the nonce tells an own write from another's.
 func (x *Executor) claim(e message.Claim) {
 	ctx, cancel := context.WithDeadline(x.ctx, e.Deadline)
 	defer cancel()
-	claimed := message.Claimed{ID: e.ID, Verdict: message.ClaimAway, Holder: e.Claim}
-	for range claimTries {
-		verdict, holder, err := x.tryClaim(ctx, e)
-		if err == nil {
-			claimed.Verdict = verdict
-			claimed.Holder = holder
-			break
-		}
-	}
-	x.engine.Do(claimed)
-}
-
-func (x *Executor) tryClaim(ctx context.Context, e message.Claim) (message.ClaimVerdict, model.Claim, error) {
-	data, err := json.Marshal(e.Claim)
-	if err != nil {
-		return "", e.Claim, fmt.Errorf("executor: %w", err)
-	}
-	put, err := x.Store.Put(ctx, claimKey(e.Claim.Key), data, 0, e.Lifetime)
-	if err != nil {
-		return "", e.Claim, err
-	}
-	if !put.Conflict {
-		return message.ClaimGranted, e.Claim, nil
-	}
-	holder, _, err := x.readClaim(ctx, e.Claim.Key)
-	if err != nil {
-		return "", e.Claim, err
-	}
-	if holder.Nonce == e.Claim.Nonce && holder.Incarnation == e.Claim.Incarnation {
-		return message.ClaimGranted, holder, nil
-	}
-	return message.ClaimHeld, holder, nil
+	c := claimer.Claimer{Store: x.Store}
+	x.engine.Do(c.Claim(ctx, e))
 }
 
-func (x *Executor) readClaim(ctx context.Context, key string) (model.Claim, int64, error) {
-	var claim model.Claim
-	value, err := x.Store.Get(ctx, claimKey(key), 0)
-	if err != nil {
-		return claim, 0, err
-	}
-	if value.Revision == 0 {
-		return claim, 0, fmt.Errorf("executor: the claim on %q is gone", key)
-	}
-	if err := json.Unmarshal(value.Data, &claim); err != nil {
-		return claim, 0, fmt.Errorf("executor: malformed claim: %w", err)
-	}
-	return claim, value.Revision, nil
-}
-
-// settle writes a claim's outcome, unless the claim is another's by now.
 func (x *Executor) settle(e message.Settle) {
-	claim, revision, err := x.readClaim(x.ctx, e.Claim.Key)
-	if err != nil {
-		x.engine.Do(message.Settled{Key: e.Claim.Key})
-		return
-	}
-	if claim.Nonce != e.Claim.Nonce || claim.Outcome == e.Claim.Outcome {
-		x.engine.Do(message.Settled{Key: e.Claim.Key, OK: true})
-		return
-	}
-	data, err := json.Marshal(e.Claim)
-	if err != nil {
-		x.Logger.Error("claim cannot be encoded", "error", err)
-		return
-	}
-	put, err := x.Store.Put(x.ctx, claimKey(e.Claim.Key), data, revision, e.Lifetime)
-	x.engine.Do(message.Settled{Key: e.Claim.Key, OK: err == nil && !put.Conflict})
+	c := claimer.Claimer{Store: x.Store}
+	x.engine.Do(c.Settle(x.ctx, e))
 }
--- /dev/null
+++ b/internal/session/chaos_test.go
@@ -0,0 +1,156 @@
+package session
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yuccathread/yuccathread/internal/model"
+)
+
+var seeds = flag.Uint64("seeds", 12, "number of random sessions")
+
+const (
+	chaosTime = 60 * time.Second
+	calmTime  = 30 * time.Second
+	// chaosRate is the number of requests a second of each kind and instance.
+	chaosRate = 15
+)
+
+// chaos breaks something at random every second or so.
+type chaos struct {
+	*world
+
+	names []string
+}
+
+func (c *chaos) name() string { return c.names[c.random.IntN(len(c.names))] }
+
+func (c *chaos) step() {
+	name := c.name()
+	n := c.nodes[name]
+	for_ := time.Duration(c.random.Int64N(int64(8 * time.Second)))
+	switch c.random.IntN(9) {
+	case 0:
+		c.kill(name)
+		c.after(for_, func() { c.restart(name) })
+	case 1:
+		if n.alive && !n.paused {
+			c.pause(name, for_)
+		}
+	case 2:
+		c.separate(n.Domain, true)
+		c.after(for_, func() { c.separate(n.Domain, false) })
+	case 3:
+		c.store.down = true
+		c.after(for_, func() { c.store.down = false })
+	case 4:
+		c.store.lose += c.random.IntN(4)
+	case 5:
+		c.store.delay = time.Duration(c.random.Int64N(int64(time.Second)))
+		c.after(for_, func() { c.store.delay = nearDelay })
+	default:
+		c.breakServer(for_)
+	}
+}
+
+func (c *chaos) breakServer(d time.Duration) {
+	names := sortedKeys(c.servers)
+	u := c.servers[names[c.random.IntN(len(names))]]
+	switch c.random.IntN(5) {
+	case 0:
+		u.down = true
+	case 1:
+		u.hang = true
+	case 2:
+		u.fail = true
+	case 3:
+		u.drains = true
+	default:
+		u.lies = true
+	}
+	c.after(d, func() { u.down, u.hang, u.fail, u.drains, u.lies = false, false, false, false, false })
+}
+
+// keyed sends once-only work and repeats it elsewhere, at once or later.
+func (c *chaos) keyed(i int) {
+	key := fmt.Sprintf("own-%d", i)
+	if c.random.IntN(2) == 0 {
+		n := c.nodes[c.name()]
+		key = fmt.Sprintf("ytk1.%s.%s.%s.%d", n.Name, n.Incarnation, base36(c.now), i)
+	}
+	for range 1 + c.random.IntN(3) {
+		name := c.name()
+		c.after(time.Duration(c.random.Int64N(int64(3*time.Second))), func() {
+			c.send(name, "order", key)
+		})
+	}
+}
+
+// TestChaos breaks instances, links, the store and servers at random, twice
+// and together, and holds what callers were told against what servers did.
+// Afterwards the fleet must have healed by itself.
+func TestChaos(t *testing.T) {
+	for seed := range *seeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			runChaos(t, seed)
+		})
+	}
+}
+
+func runChaos(t *testing.T, seed uint64) {
+	c := &chaos{world: load(t, seed, "verhaegen")}
+	c.names = sortedKeys(c.nodes)
+	c.run(15 * time.Second)
+	end := c.now.Add(chaosTime)
+	var next func()
+	next = func() {
+		if c.now.Before(end) {
+			c.step()
+			c.after(time.Duration(c.random.Int64N(int64(2*time.Second))), next)
+		}
+	}
+	next()
+	for i := range 300 {
+		c.after(time.Duration(c.random.Int64N(int64(chaosTime))), func() { c.keyed(i) })
+	}
+	for _, kind := range []string{"stock", "catalogue", "compatibility"} {
+		c.stream(kind, chaosRate*float64(len(c.names)), chaosTime, c.names...)
+	}
+	c.run(chaosTime + calmTime)
+	c.checkTruth()
+	c.checkHealed()
+	if t.Failed() {
+		t.Logf("again: go test ./internal/session -run 'TestChaos/seed=%d$' -seeds %d", seed, seed+1)
+	}
+}
+
+// checkHealed expects every instance ready, with the same configuration and
+// all servers owned, and new work answered.
+func (c *chaos) checkHealed() {
+	owned := 0
+	for _, name := range c.names {
+		n := c.nodes[name]
+		assert.Assert(c.t, n.alive, name)
+		status := n.reducer.Status()
+		assert.Assert(c.t, status.Ready && status.LeaseValid, "%s: %+v", name, status)
+		for _, s := range status.Servers {
+			if s.Owned {
+				owned++
+			}
+		}
+	}
+	assert.Equal(c.t, owned, len(c.servers))
+	first := len(c.results)
+	for _, name := range c.names {
+		c.stream("stock", 50, 2*time.Second, name)
+	}
+	c.run(4 * time.Second)
+	for _, r := range c.results[first:] {
+		assert.Equal(c.t, r.result.Outcome, model.Ran, "%+v", r)
+	}
+}
