Tell unknown where a try may have run; leave crashed owners' servers alone

Cause: random sessions found three faults. A request whose first try ended unknown and whose second was refused was told not_run and had run. A keyed request at an instance without a configuration was told not_run though an earlier one had run. An instance that crashed and came back within a second used its servers at once while its predecessor's work still ran there.

Ruled out: waiting for a fresh load report after a crash; a server that lies about its load would be overloaded.

Change: unknown outlives later refusals; before there is a configuration a key marks once-only work; a restarted owner leaves its servers alone for the longest deadline of their service. The sessions are harsher: servers busier, longer pauses, broken connections, retries up to 15 s later, 40 operators' patches against random versions, and a watch that no version ever goes back.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -106,6 +106,10 @@
 		return
 	}
 	x.OwnerIncarnation = owner.Incarnation
+	if !slices.Contains(x.Previous, x.Owner) {
+		x.Previous = append(x.Previous, x.Owner)
+	}
+	x.Revision = p.next.Revision
 }
 
 // release takes a server from its owner. The owners that may still use it
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -36,6 +36,8 @@
 	platformAddress = "127.0.0.1:7000"
 	storeTimeout    = time.Second
 	closeLimit      = time.Second
+	// submitDelay is the time between two tries to reach the store.
+	submitDelay = 10 * time.Millisecond
 	// upstreamPort is the port of the first upstream stand-in.
 	upstreamPort = 7100
 	// serversPerService is the number of servers of each service and failure domain.
@@ -129,8 +131,9 @@
 		return err
 	}
 	p := patcher.Patcher{
-		Store: &storer.Storer{URL: "http://" + platformAddress, Timeout: storeTimeout},
-		Clock: d.Clock,
+		Store:      &storer.Storer{URL: "http://" + platformAddress, Timeout: storeTimeout},
+		Clock:      d.Clock,
+		RetryDelay: submitDelay,
 	}
 	patch := model.Patch{ChangeID: "demonstration", Author: "yuccathread", Operations: operations}
 	for {
@@ -141,7 +144,7 @@
 		if _, ok := errors.AsType[*model.FindingsError](err); ok {
 			return err
 		}
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(submitDelay)
 	}
 }
 
--- a/internal/patcher/patcher.go
+++ b/internal/patcher/patcher.go
@@ -9,7 +9,7 @@
 //
 // Usage:
 //
-//	p := patcher.Patcher{Store: store, Clock: clock.System()}
+//	p := patcher.Patcher{Store: store, Clock: clock.System(), RetryDelay: 200 * time.Millisecond}
 //	head, err := p.Apply(ctx, change)
 package patcher
 
@@ -36,8 +36,6 @@
 	historyLength = 64
 	// attempts bounds the tries to learn what the store did with a write.
 	attempts = 5
-	// retryDelay is the time between two tries.
-	retryDelay = 200 * time.Millisecond
 	// maxDocumentBytes leaves room for the history within the store's limit.
 	maxDocumentBytes = 900_000
 )
@@ -46,6 +44,8 @@
 type Patcher struct {
 	Store model.Store
 	Clock clock.Clock
+	// RetryDelay is the time between two tries.
+	RetryDelay time.Duration
 }
 
 // Apply applies a patch and returns the new head, or, for a dry run, what it
@@ -55,7 +55,7 @@
 	var last error
 	for try := range attempts {
 		if try > 0 {
-			wait(ctx, retryDelay)
+			wait(ctx, p.RetryDelay)
 		}
 		head, err := p.try(ctx, patch)
 		if err == nil || final(err) {
--- a/internal/reducer/admission.go
+++ b/internal/reducer/admission.go
@@ -40,6 +40,8 @@
 	tried []string
 	// begun is set once this instance alone decides whether the work runs.
 	begun bool
+	// uncertain is set once a try had an unknown outcome.
+	uncertain bool
 	// bound is set while the request is with the process that holds its key.
 	bound bool
 	claim *model.Claim
@@ -106,7 +108,9 @@
 // otherwise an earlier request with the key may have run it.
 func (r *Reducer) refuse(w *work, code model.Code, detail string) {
 	outcome := model.NotRun
-	if w.kind != nil && w.kind.OnceOnly && !w.begun {
+	// Before there is a configuration, a key is the sign of once-only work.
+	onceOnly := w.request.Key != "" && w.kind == nil || w.kind != nil && w.kind.OnceOnly
+	if onceOnly && !w.begun {
 		outcome = model.Unknown
 	}
 	r.finish(w, model.Result{Outcome: outcome, Code: code, Detail: detail})
--- a/internal/reducer/completion.go
+++ b/internal/reducer/completion.go
@@ -83,6 +83,7 @@
 func (r *Reducer) end(w *work, result model.Result, target string) {
 	if result.Outcome != model.Ran && r.retryable(w, result) {
 		w.tried = append(w.tried, target)
+		w.uncertain = w.uncertain || result.Outcome == model.Unknown
 		r.untake(w)
 		r.note("retried", w.request.ID, target, string(result.Code), "")
 		w.state = arrived
@@ -117,6 +118,9 @@
 // finish answers the request and everyone who waits for the same key.
 func (r *Reducer) finish(w *work, result model.Result) {
 	delete(r.works, w.request.ID)
+	if w.uncertain && result.Outcome == model.NotRun {
+		result.Outcome = model.Unknown
+	}
 	result.RetryAfter = 0
 	if result.Outcome == model.NotRun && r.policy != nil {
 		result.RetryAfter = r.retryAfter(result.Code)
--- a/internal/reducer/table.go
+++ b/internal/reducer/table.go
@@ -133,8 +133,8 @@
 	s.cold = time.UnixMilli(a.SinceMS)
 	s.foreign = make(map[string]int)
 	s.slots = r.slots(a.Service)
-	if waits := r.unacknowledged(a); waits {
-		s.usable = r.now.Add(takeoverDelay)
+	if wait := r.takeoverWait(a); wait > 0 {
+		s.usable = r.now.Add(wait)
 		s.cautious = s.usable.Add(cautionPeriod)
 	}
 	for _, name := range a.Previous {
@@ -145,6 +145,33 @@
 	r.note("server_taken", "", s.Name, "table", "usable_in="+max(0, s.usable.Sub(r.now)).String())
 }
 
+// takeoverWait is how long a server is left alone. An earlier owner may go on
+// dispatching until its lease is over, and a predecessor of this process may
+// have left work there, which ends by its deadline.
+func (r *Reducer) takeoverWait(a model.Assignment) time.Duration {
+	longest := r.longestDeadline(a.Service)
+	if r.unacknowledged(a) {
+		return max(takeoverDelay, longest)
+	}
+	if slices.Contains(a.Previous, r.Self.Name) {
+		return longest
+	}
+	return 0
+}
+
+func (r *Reducer) longestDeadline(service string) time.Duration {
+	longest := time.Duration(0)
+	if r.policy == nil {
+		return takeoverDelay
+	}
+	for _, k := range r.policy.kinds {
+		if k.Service == service {
+			longest = max(longest, k.Deadline.Duration)
+		}
+	}
+	return longest
+}
+
 func (r *Reducer) slots(service string) int {
 	if r.policy == nil {
 		return 0
@@ -183,7 +210,7 @@
 			continue
 		}
 		r.takeForeign(s, x)
-		if r.now.Before(s.usable) && !r.unacknowledged(s.Assignment) {
+		if r.now.Before(s.usable) && r.takeoverWait(s.Assignment) == 0 {
 			s.usable = r.now
 		}
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -48,6 +48,8 @@
 	maxBodyBytes = 8 << 20
 	// connections bounds the connections to one server; see docs/design.
 	connections = 330
+	// patchRetryDelay is the time between two tries to learn of a patch's fate.
+	patchRetryDelay = 200 * time.Millisecond
 	// shutdownLimit ends connections that stay open after the last answer.
 	shutdownLimit = 2 * time.Second
 )
@@ -136,7 +138,7 @@
 	a := &answerer.Answerer{
 		Engine:       r.engine,
 		Executor:     r.executor,
-		Patcher:      &patcher.Patcher{Store: r.executor.Store, Clock: r.Clock},
+		Patcher:      &patcher.Patcher{Store: r.executor.Store, Clock: r.Clock, RetryDelay: patchRetryDelay},
 		Registry:     r.registry,
 		Clock:        r.Clock,
 		Self:         self,
--- a/internal/session/chaos_test.go
+++ b/internal/session/chaos_test.go
@@ -17,14 +17,20 @@
 	chaosTime = 60 * time.Second
 	calmTime  = 30 * time.Second
 	// chaosRate is the number of requests a second of each kind and instance.
-	chaosRate = 15
+	chaosRate = 20
+	// slowness stretches the servers' work, so that they are busy.
+	slowness = 10
+	// patches is the number of operators' patches in a session.
+	patches = 40
 )
 
 // chaos breaks something at random every second or so.
 type chaos struct {
 	*world
 
-	names []string
+	names    []string
+	accepted int64
+	patched  int
 }
 
 func (c *chaos) name() string { return c.names[c.random.IntN(len(c.names))] }
@@ -39,7 +45,7 @@
 		c.after(for_, func() { c.restart(name) })
 	case 1:
 		if n.alive && !n.paused {
-			c.pause(name, for_)
+			c.pause(name, 2*for_)
 		}
 	case 2:
 		c.separate(n.Domain, true)
@@ -60,7 +66,7 @@
 func (c *chaos) breakServer(d time.Duration) {
 	names := sortedKeys(c.servers)
 	u := c.servers[names[c.random.IntN(len(names))]]
-	switch c.random.IntN(5) {
+	switch c.random.IntN(6) {
 	case 0:
 		u.down = true
 	case 1:
@@ -69,10 +75,12 @@
 		u.fail = true
 	case 3:
 		u.drains = true
+	case 4:
+		u.cuts = true
 	default:
 		u.lies = true
 	}
-	c.after(d, func() { u.down, u.hang, u.fail, u.drains, u.lies = false, false, false, false, false })
+	c.after(d, func() { u.down, u.hang, u.fail, u.drains, u.lies, u.cuts = false, false, false, false, false, false })
 }
 
 // keyed sends once-only work and repeats it elsewhere, at once or later.
@@ -84,12 +92,41 @@
 	}
 	for range 1 + c.random.IntN(3) {
 		name := c.name()
-		c.after(time.Duration(c.random.Int64N(int64(3*time.Second))), func() {
+		c.after(time.Duration(c.random.Int64N(int64(15*time.Second))), func() {
 			c.send(name, "order", key)
 		})
 	}
 }
 
+// operate patches the newest version that an operator may know, or an old one.
+func (c *chaos) operate() {
+	c.patched++
+	base := 1 + c.random.Int64N(c.accepted+1)
+	cap := fmt.Sprintf(`[{"op":"replace","path":"/shift/minimum_requests","value":%d}]`, c.patched)
+	if c.patch(base, fmt.Sprintf("change-%d", c.patched), []byte(cap)) == nil {
+		c.accepted++
+	}
+}
+
+// watchVersions expects that no process ever goes back to an older version.
+func (c *chaos) watchVersions(end time.Time) {
+	seen := make(map[string]int64)
+	var look func()
+	look = func() {
+		for _, n := range c.nodes {
+			v := n.reducer.Head().Version
+			if v < seen[n.Incarnation] {
+				c.t.Errorf("%s went back from version %d to %d", n.Name, seen[n.Incarnation], v)
+			}
+			seen[n.Incarnation] = v
+		}
+		if c.now.Before(end) {
+			c.after(tick, look)
+		}
+	}
+	look()
+}
+
 // TestChaos breaks instances, links, the store and servers at random, twice
 // and together, and holds what callers were told against what servers did.
 // Afterwards the fleet must have healed by itself.
@@ -105,6 +142,10 @@
 func runChaos(t *testing.T, seed uint64) {
 	c := &chaos{world: load(t, seed, "verhaegen")}
 	c.names = sortedKeys(c.nodes)
+	for _, u := range c.servers {
+		work := u.work
+		u.work = func() time.Duration { return slowness * work() }
+	}
 	c.run(15 * time.Second)
 	end := c.now.Add(chaosTime)
 	var next func()
@@ -118,9 +159,13 @@
 	for i := range 300 {
 		c.after(time.Duration(c.random.Int64N(int64(chaosTime))), func() { c.keyed(i) })
 	}
-	for _, kind := range []string{"stock", "catalogue", "compatibility"} {
-		c.stream(kind, chaosRate*float64(len(c.names)), chaosTime, c.names...)
+	for kind, times := range map[string]float64{"stock": 3, "catalogue": 2, "compatibility": 0.5} {
+		c.stream(kind, times*chaosRate*float64(len(c.names)), chaosTime, c.names...)
+	}
+	for range patches {
+		c.after(time.Duration(c.random.Int64N(int64(chaosTime))), c.operate)
 	}
+	c.watchVersions(end.Add(calmTime))
 	c.run(chaosTime + calmTime)
 	c.checkTruth()
 	c.checkHealed()
@@ -137,6 +182,9 @@
 		n := c.nodes[name]
 		assert.Assert(c.t, n.alive, name)
 		status := n.reducer.Status()
+		// An accepted patch is a version; a lost answer may hide one more.
+		assert.Assert(c.t, status.ConfigurationVersion > c.accepted, "%s: %+v", name, status)
+		assert.Equal(c.t, status.ConfigurationVersion, c.nodes[c.names[0]].reducer.Head().Version)
 		assert.Assert(c.t, status.Ready && status.LeaseValid, "%s: %+v", name, status)
 		for _, s := range status.Servers {
 			if s.Owned {
@@ -147,7 +195,7 @@
 	assert.Equal(c.t, owned, len(c.servers))
 	first := len(c.results)
 	for _, name := range c.names {
-		c.stream("stock", 50, 2*time.Second, name)
+		c.stream("stock", 20, 2*time.Second, name)
 	}
 	c.run(4 * time.Second)
 	for _, r := range c.results[first:] {
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -30,6 +30,8 @@
 	farDelay    = 55 * time.Millisecond
 	clientDelay = 3 * time.Millisecond
 	serverDelay = 200 * time.Microsecond
+	// cancelDelay is how long a server takes to notice a cancellation.
+	cancelDelay = 10 * time.Millisecond
 )
 
 // world is a fleet under a virtual clock. Faults are set between steps.
@@ -53,8 +55,9 @@
 	peers   map[string]origin
 	calls   int
 	// ran counts executions by request and by key.
-	ran    map[string]int
-	ranKey map[string]int
+	ran     map[string]int
+	ranKey  map[string]int
+	ranLast map[string]time.Time
 }
 
 // node is an entry instance. A stopped clock (paused) keeps its events back.
@@ -82,6 +85,7 @@
 	fail    bool
 	drains  bool
 	lies    bool
+	cuts    bool
 	arrived time.Time
 }
 
@@ -96,6 +100,7 @@
 
 type origin struct {
 	node    *node
+	target  *node
 	id      string
 	attempt int
 }
@@ -179,7 +184,7 @@
 		regions: make(map[string]string), cut: make(map[[2]string]bool),
 		store:   storeFake{values: make(map[string]model.StoreValue), away: make(map[string]bool), delay: nearDelay},
 		listing: make(map[string]model.Listing), peers: make(map[string]origin),
-		ran: make(map[string]int), ranKey: make(map[string]int),
+		ran: make(map[string]int), ranKey: make(map[string]int), ranLast: make(map[string]time.Time),
 	}
 }
 
@@ -282,7 +287,23 @@
 // at runs an action later in the session.
 func (w *world) at(d time.Duration, do func()) { w.after(d, do) }
 
-func (w *world) kill(name string) { w.nodes[name].alive = false }
+// kill ends an instance. Whoever has handed work to it sees the connection break.
+func (w *world) kill(name string) {
+	dead := w.nodes[name]
+	dead.alive = false
+	for _, key := range sortedKeys(w.peers) {
+		o := w.peers[key]
+		if o.target != dead {
+			continue
+		}
+		delete(w.peers, key)
+		w.after(w.delay(dead.Domain, o.node.Domain), func() {
+			w.deliver(o.node, message.PeerAnswered{ID: o.id, Attempt: o.attempt, Result: model.Result{
+				Outcome: model.Unknown, Code: model.CodePeerFailed,
+			}})
+		})
+	}
+}
 
 func (w *world) restart(name string) *node { return w.addNode(w.nodes[name].Instance) }
 
@@ -535,7 +556,7 @@
 	late := x.Deadline.Sub(w.now)
 	if u.hang || took > late {
 		w.after(late, func() {
-			u.busy--
+			w.after(cancelDelay, func() { u.busy-- })
 			a.Abandoned = true
 			a.Result = model.Result{Outcome: model.Unknown, Code: model.CodeDeadline}
 			w.deliver(n, a)
@@ -547,11 +568,15 @@
 		w.ran[requestOf(x.ID)]++
 		if x.Key != "" {
 			w.ranKey[x.Key]++
+			w.ranLast[x.Key] = w.now
 		}
 		a.Result = model.Result{Outcome: model.Ran, Code: model.CodeOK, Status: 200, Server: u.Name}
 		if u.fail {
 			a.Result.Status = 500
 		}
+		if u.cuts {
+			a.Result = model.Result{Outcome: model.Unknown, Code: model.CodeUpstreamFailed}
+		}
 		w.after(serverDelay, func() { w.deliver(n, a) })
 	})
 }
@@ -578,7 +603,7 @@
 			return
 		case !w.reachable(n.Domain, p.Domain):
 		default:
-			w.peers[p.Incarnation+x.Request.ID] = origin{node: n, id: x.ID, attempt: x.Attempt}
+			w.peers[p.Incarnation+x.Request.ID] = origin{node: n, target: p, id: x.ID, attempt: x.Attempt}
 			w.deliver(p, message.Arrived{Request: x.Request})
 		}
 		// Whatever is not answered in time is unknown; a second end is ignored.
@@ -679,6 +704,12 @@
 			w.t.Errorf("request %s (%s) was told ran and did not run", r.id, r.kind)
 		}
 	}
+	for _, r := range w.results {
+		last, ran := w.ranLast[r.key]
+		if ran && r.result.Outcome == model.NotRun && r.at.After(last) {
+			w.t.Errorf("request %s was told not_run (%s) after its key %s had run", r.id, r.result.Code, r.key)
+		}
+	}
 	for key, n := range w.ranKey {
 		if n > 1 {
 			w.t.Errorf("key %s ran %d times", key, n)
