Hold the shift cap through losses, returns and flaps; believe every leaving sign

(1) After a region's loss 0.26 of a home's traffic moved in a period of 10 s (cap 0.20): requests refused for other reasons than the cap were not counted, so a later window caught up. (2) At the region's return 0.83 moved at once: starting instances took work before they had heard where the fleet sends traffic. (3) When it flapped, 0.35 moved: a window made up for what its first seconds had refused. (4) With the store away a server marked leaving in the list got work for 7 s more; a mark in answers was undone by load reports that denied it.

Ruled out: smoothing by a longer period (slower drains, same bursts).

Drain marks from list, reports and answers are kept apart; a mark in an answer holds for five minutes against reports to the contrary. Work does not wait for servers that may not be used yet.

--- a/internal/model/gossip.go
+++ b/internal/model/gossip.go
@@ -18,7 +18,11 @@
 	Pools []Pool
 	// Foreign counts requests in flight on servers that the instance no longer owns.
 	Foreign []Occupied
-	Shares  []Share
+	// Listed is set by an instance that reads the platform's list; Draining
+	// names the servers that the list marks as leaving.
+	Listed   bool
+	Draining []string
+	Shares   []Share
 }
 
 // Pool is the state of one service's servers at one instance.
--- a/internal/reducer/admission.go
+++ b/internal/reducer/admission.go
@@ -36,6 +36,8 @@
 
 	// domain is the failure domain charged for the request in the shifter.
 	domain string
+	// steered is set once the shifter of its flow counts the request.
+	steered bool
 	// tried holds servers and instances that refused or failed.
 	tried []string
 	// begun is set once this instance alone decides whether the work runs.
@@ -72,8 +74,8 @@
 
 // admit refuses what needs no knowledge of load.
 func (r *Reducer) admit(w *work) bool {
-	if r.policy == nil {
-		r.refuse(w, model.CodeNotReady, "no configuration yet")
+	if !r.Ready() {
+		r.refuse(w, model.CodeNotReady, "this instance is starting")
 		return false
 	}
 	k, ok := r.policy.kinds[w.request.Kind]
--- a/internal/reducer/completion.go
+++ b/internal/reducer/completion.go
@@ -21,7 +21,7 @@
 // observe lets a server's outcomes speak for its health.
 func (r *Reducer) observe(w *work, s *server, e message.Answered) {
 	if e.Draining {
-		r.markDraining(s, true)
+		r.markAnswered(s)
 	}
 	switch {
 	case e.Result.Outcome == model.Ran && e.Result.Status < 500:
@@ -90,9 +90,6 @@
 		r.place(w)
 		return
 	}
-	if result.Outcome == model.NotRun {
-		r.untake(w)
-	}
 	r.finish(w, result)
 }
 
@@ -118,6 +115,10 @@
 // finish answers the request and everyone who waits for the same key.
 func (r *Reducer) finish(w *work, result model.Result) {
 	delete(r.works, w.request.ID)
+	if result.Outcome == model.NotRun && w.steered {
+		r.untake(w)
+		r.shifter(w).Stay()
+	}
 	if w.uncertain && result.Outcome == model.NotRun {
 		result.Outcome = model.Unknown
 	}
--- a/internal/reducer/configuration.go
+++ b/internal/reducer/configuration.go
@@ -37,9 +37,10 @@
 }
 
 // Ready reports whether the instance can take work: it has a configuration,
-// and has read its table or waited long enough for the store.
+// has listened for a while to where the fleet sends traffic, and has read its
+// table or waited long enough for the store.
 func (r *Reducer) Ready() bool {
-	if r.policy == nil {
+	if r.policy == nil || r.now.Sub(r.started) < settleTime {
 		return false
 	}
 	return r.table.read || r.table.table.Revision > 0 || r.now.Sub(r.started) > suspectAfter
--- a/internal/reducer/gossip.go
+++ b/internal/reducer/gossip.go
@@ -197,6 +197,10 @@
 	x.revision = d.TableRevision
 	x.update(d.Pools)
 	r.acknowledge(x)
+	if d.Listed && !r.delegate() {
+		r.table.leaving = d.Draining
+		r.markListed(d.Draining)
+	}
 }
 
 func (r *Reducer) learnSummary(s model.Summary) {
@@ -248,6 +252,8 @@
 		StoreAge:             r.leaser.Age(r.now),
 		Pools:                r.poolDigests(),
 		Foreign:              r.foreignDigests(),
+		Listed:               r.delegate() && r.table.listing != nil,
+		Draining:             r.table.leaving,
 		Shares:               r.shareDigests(),
 	}
 }
@@ -276,17 +282,17 @@
 func (r *Reducer) shareDigests() []model.Share {
 	var shares []model.Share
 	for f, s := range r.shifters {
-		base := s.Base()
-		if base[f.home] > 1-shareFloor || s.Requests() == 0 {
+		where := s.Shares()
+		if where[f.home] > 1-shareFloor || s.Weight() == 0 {
 			continue
 		}
-		for domain, fraction := range base {
+		for domain, fraction := range where {
 			shares = append(shares, model.Share{
 				Service:  f.service,
 				Home:     f.home,
 				Domain:   domain,
 				Fraction: fraction,
-				Arrivals: s.Requests(),
+				Arrivals: s.Weight(),
 			})
 		}
 	}
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -16,6 +16,9 @@
 	// spillFactor is how many round trips of waiting here are better than
 	// going to another region.
 	spillFactor = 1
+	// idlePeriods is the number of shift periods after which a flow without
+	// requests is forgotten.
+	idlePeriods = 2
 )
 
 // place decides where work runs: at once on an own server, at another
@@ -25,12 +28,13 @@
 		r.placeHere(w)
 		return
 	}
+	w.steered = true
 	reason := r.placeAnywhere(w)
 	if reason == "" {
 		return
 	}
 	if reason == model.CodeShiftCap {
-		r.shifter(w).Refuse(w.kind.rank)
+		r.shifter(w).Want(w.kind.rank)
 	}
 	r.refuse(w, reason, "")
 }
@@ -301,6 +305,16 @@
 	return s
 }
 
+// forgetFlows drops flows without requests, so that one that comes back starts
+// from where the fleet sends it then.
+func (r *Reducer) forgetFlows() {
+	for f, s := range r.shifters {
+		if s.Idle(r.now) > idlePeriods*s.Period {
+			delete(r.shifters, f)
+		}
+	}
+}
+
 // retryAfter is when a refused caller may try again.
 func (r *Reducer) retryAfter(code model.Code) time.Duration {
 	switch code {
--- a/internal/reducer/pool.go
+++ b/internal/reducer/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/ejector"
@@ -21,6 +22,8 @@
 	// cautionPeriod is how long after a takeover without acknowledgement the
 	// server's own count of busy slots is taken into account.
 	cautionPeriod = 30 * time.Second
+	// drainMemory is how long a drain mark in an answer is believed.
+	drainMemory = 5 * time.Minute
 	// initialDuration stands in for the time of a kind never seen before.
 	initialDuration = 20 * time.Millisecond
 )
@@ -47,16 +50,20 @@
 	usable   time.Time
 	cautious time.Time
 	cold     time.Time
-	draining bool
 	refused  time.Time
 
+	// listed, reported and answered say who has marked the server as leaving.
+	listed   bool
+	reported bool
+	answered time.Time
+
 	reportedBusy int
 	reportedAt   time.Time
 }
 
 // allowed returns the number of slots that may be in use now.
 func (s *server) allowed(now time.Time, recovery model.Recovery) int {
-	if !s.owned || s.Leaving || s.draining || s.Ejected(now) {
+	if !s.owned || s.draining(now) || s.Ejected(now) {
 		return 0
 	}
 	if now.Before(s.usable) || now.Before(s.refused) {
@@ -65,6 +72,12 @@
 	return s.ramp(now, recovery.SlowStart.Duration)
 }
 
+// draining reports whether anything says that the server leaves. A mark in an
+// answer outlives reports to the contrary, which may mislead.
+func (s *server) draining(now time.Time) bool {
+	return s.Leaving || s.listed || s.reported || now.Sub(s.answered) < drainMemory
+}
+
 // ramp grows the slots of a cold or returned server from one to all.
 func (s *server) ramp(now time.Time, period time.Duration) int {
 	start := s.cold
@@ -187,7 +200,7 @@
 func (r *Reducer) expectedWait(w *work, p *pool) (time.Duration, bool) {
 	slots := 0
 	for _, s := range p.servers {
-		if s.owned && !s.Leaving && !s.draining && !s.Ejected(r.now) {
+		if s.owned && !s.draining(r.now) && !s.Ejected(r.now) && !r.now.Before(s.usable) {
 			slots += s.slots
 		}
 	}
@@ -230,18 +243,34 @@
 	}
 	s.reportedBusy = e.Busy
 	s.reportedAt = r.now
-	r.markDraining(s, e.Draining)
-}
-
-func (r *Reducer) markDraining(s *server, draining bool) {
-	if s.draining == draining {
+	if e.Draining == s.reported {
 		return
 	}
-	s.draining = draining
-	if draining {
+	s.reported = e.Draining
+	if e.Draining {
 		r.note("server_draining", "", s.Name, "reported by the server", "")
 		return
 	}
+	s.answered = time.Time{}
 	s.cold = r.now
 	r.note("server_returned", "", s.Name, "reported by the server", "")
 }
+
+// markAnswered notes a drain mark in an answer.
+func (r *Reducer) markAnswered(s *server) {
+	if !s.draining(r.now) {
+		r.note("server_draining", "", s.Name, "marked in an answer", "")
+	}
+	s.answered = r.now
+}
+
+// markListed notes which servers the platform's list marks as leaving.
+func (r *Reducer) markListed(leaving []string) {
+	for _, s := range r.servers {
+		listed := slices.Contains(leaving, s.Name)
+		if listed && !s.draining(r.now) {
+			r.note("server_draining", "", s.Name, "marked in the list", "")
+		}
+		s.listed = listed
+	}
+}
--- a/internal/reducer/schedule.go
+++ b/internal/reducer/schedule.go
@@ -47,6 +47,7 @@
 	}
 	if r.due(&s.settle, settleRetry) {
 		r.settleAgain()
+		r.forgetFlows()
 	}
 	if r.due(&s.forget, forgetInterval) {
 		r.forgetKeys()
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -43,7 +43,7 @@
 		Name:     s.Name,
 		Service:  s.Service,
 		InFlight: s.inFlight,
-		Draining: s.draining || s.Leaving,
+		Draining: s.draining(r.now),
 		Ejected:  s.Ejected(r.now),
 		Owned:    s.owned,
 	}
--- a/internal/reducer/table.go
+++ b/internal/reducer/table.go
@@ -30,6 +30,8 @@
 	read          bool
 	writing       time.Time
 	listing       *model.Listing
+	// leaving names the servers that the list marks, read here or by a sibling.
+	leaving []string
 }
 
 func (r *Reducer) tableRead(e message.TableRead) {
@@ -129,7 +131,7 @@
 	}
 	s.Assignment = a
 	s.owned = true
-	s.draining = false
+	s.listed = slices.Contains(r.table.leaving, s.Name)
 	s.cold = time.UnixMilli(a.SinceMS)
 	s.foreign = make(map[string]int)
 	s.slots = r.slots(a.Service)
@@ -256,10 +258,22 @@
 	if e.Domain == r.Self.Domain {
 		listing := e.Listing
 		r.table.listing = &listing
+		r.table.leaving = leavingServers(listing)
+		r.markListed(r.table.leaving)
 		r.plan()
 	}
 }
 
+func leavingServers(listing model.Listing) []string {
+	var leaving []string
+	for _, s := range listing.Servers {
+		if s.Leaving {
+			leaving = append(leaving, s.Name)
+		}
+	}
+	return leaving
+}
+
 func (r *Reducer) listFailed(message.ListFailed) {}
 
 // plan writes a new table if this instance is the one to do it and what is
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -58,6 +58,8 @@
 	ran     map[string]int
 	ranKey  map[string]int
 	ranLast map[string]time.Time
+	// places tells where each request ran.
+	places map[string]string
 }
 
 // node is an entry instance. A stopped clock (paused) keeps its events back.
@@ -93,6 +95,7 @@
 	id     string
 	kind   string
 	key    string
+	home   string
 	due    time.Time
 	at     time.Time
 	result model.Result
@@ -185,6 +188,7 @@
 		store:   storeFake{values: make(map[string]model.StoreValue), away: make(map[string]bool), delay: nearDelay},
 		listing: make(map[string]model.Listing), peers: make(map[string]origin),
 		ran: make(map[string]int), ranKey: make(map[string]int), ranLast: make(map[string]time.Time),
+		places: make(map[string]string),
 	}
 }
 
@@ -566,6 +570,7 @@
 	w.after(took, func() {
 		u.busy--
 		w.ran[requestOf(x.ID)]++
+		w.places[requestOf(x.ID)] = u.Domain
 		if x.Key != "" {
 			w.ranKey[x.Key]++
 			w.ranLast[x.Key] = w.now
@@ -639,24 +644,39 @@
 
 // send sends a request to an instance and returns its id.
 func (w *world) send(name, kind, key string) string {
+	return w.sendFrom(w.nodes[name].Domain, name, kind, key)
+}
+
+// sendFrom sends the request of a client near a failure domain.
+func (w *world) sendFrom(home, name, kind, key string) string {
 	w.calls++
 	id := fmt.Sprintf("r%d", w.calls)
-	w.results = append(w.results, outcome{id: id, kind: kind, key: key, due: w.now})
+	w.results = append(w.results, outcome{id: id, kind: kind, key: key, home: home, due: w.now})
 	n := w.nodes[name]
-	request := model.Request{ID: id, Kind: kind, Key: key, Home: n.Domain, Digest: 7, BodyBytes: 100}
+	request := model.Request{ID: id, Kind: kind, Key: key, Home: home, Digest: 7, BodyBytes: 100}
 	w.after(clientDelay, func() { w.deliver(n, message.Arrived{Request: request}) })
 	return id
 }
 
 // stream sends requests of one kind at a rate, in equal steps, for a time.
 func (w *world) stream(kind string, rate float64, d time.Duration, names ...string) {
+	w.streamFrom("", kind, rate, d, names...)
+}
+
+// streamFrom is stream for clients near one failure domain.
+func (w *world) streamFrom(home, kind string, rate float64, d time.Duration, names ...string) {
 	step := time.Duration(float64(time.Second) / rate)
 	end := w.now.Add(d)
 	i := 0
 	var next func()
 	next = func() {
 		if w.now.Before(end) {
-			w.send(names[i%len(names)], kind, "")
+			name := names[i%len(names)]
+			from := home
+			if from == "" {
+				from = w.nodes[name].Domain
+			}
+			w.sendFrom(from, name, kind, "")
 			i++
 			w.after(step, next)
 		}
