--- a/internal/reducer/pool.go
+++ b/internal/reducer/pool.go
@@ -158,13 +158,14 @@
 		if s == nil {
 			return
 		}
-		item, _ := p.queue.Pop()
-		w := item.Value
-		if r.tooLate(w) {
-			r.refuse(w, model.CodeDeadline, "waited too long for a slot")
+		item, _ := p.queue.Peek()
+		if r.tooLate(item.Value) {
+			p.queue.Remove(item.ID)
+			r.refuse(item.Value, model.CodeDeadline, "waited too long for a slot")
 			continue
 		}
-		r.dispatch(w, s, "waited")
+		p.queue.Pop()
+		r.dispatch(item.Value, s, "waited")
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -77,19 +77,27 @@
 	return true
 }
 
-// Pop takes the item whose turn it is.
-func (s *Scheduler[T]) Pop() (Item[T], bool) {
+// Peek returns the item whose turn it is and leaves it waiting.
+func (s *Scheduler[T]) Peek() (Item[T], bool) {
 	r := s.nextRank()
 	if r < 0 {
 		return Item[T]{}, false
 	}
-	q := s.ranks[r]
-	k := q.nextKind()
-	item := k.items.Front().Value.(Item[T])
+	return s.ranks[r].nextKind().items.Front().Value.(Item[T]), true
+}
+
+// Pop takes the item whose turn it is and counts its slot time.
+func (s *Scheduler[T]) Pop() (Item[T], bool) {
+	item, ok := s.Peek()
+	if !ok {
+		return item, false
+	}
+	q := s.ranks[item.Rank]
+	k := q.kind(item.Kind)
 	s.drop(k, item)
 	q.pass = max(q.pass, k.pass)
 	k.pass += item.Cost
-	s.charge(r, item.Cost)
+	s.charge(item.Rank, item.Cost)
 	return item, true
 }
 
@@ -100,7 +108,8 @@
 	s.charge(rank, cost)
 }
 
-// Remove takes out a waiting item, for example because its caller is gone.
+// Remove takes out a waiting item, for example because its caller is gone. It
+// costs the item's rank and kind nothing.
 func (s *Scheduler[T]) Remove(id string) bool {
 	e, ok := s.items[id]
 	if !ok {
--- a/internal/session/chaos_test.go
+++ b/internal/session/chaos_test.go
@@ -38,28 +38,28 @@
 func (c *chaos) step() {
 	name := c.name()
 	n := c.nodes[name]
-	for_ := time.Duration(c.random.Int64N(int64(8 * time.Second)))
+	length := time.Duration(c.random.Int64N(int64(8 * time.Second)))
 	switch c.random.IntN(9) {
 	case 0:
 		c.kill(name)
-		c.after(for_, func() { c.restart(name) })
+		c.after(length, func() { c.restart(name) })
 	case 1:
 		if n.alive && !n.paused {
-			c.pause(name, 2*for_)
+			c.pause(name, 2*length)
 		}
 	case 2:
 		c.separate(n.Domain, true)
-		c.after(for_, func() { c.separate(n.Domain, false) })
+		c.after(length, func() { c.separate(n.Domain, false) })
 	case 3:
 		c.store.down = true
-		c.after(for_, func() { c.store.down = false })
+		c.after(length, func() { c.store.down = false })
 	case 4:
 		c.store.lose += c.random.IntN(4)
 	case 5:
 		c.store.delay = time.Duration(c.random.Int64N(int64(time.Second)))
-		c.after(for_, func() { c.store.delay = nearDelay })
+		c.after(length, func() { c.store.delay = nearDelay })
 	default:
-		c.breakServer(for_)
+		c.breakServer(length)
 	}
 }
 
@@ -102,8 +102,8 @@
 func (c *chaos) operate() {
 	c.patched++
 	base := 1 + c.random.Int64N(c.accepted+1)
-	cap := fmt.Sprintf(`[{"op":"replace","path":"/shift/minimum_requests","value":%d}]`, c.patched)
-	if c.patch(base, fmt.Sprintf("change-%d", c.patched), []byte(cap)) == nil {
+	operations := fmt.Sprintf(`[{"op":"replace","path":"/shift/minimum_requests","value":%d}]`, c.patched)
+	if c.patch(base, fmt.Sprintf("change-%d", c.patched), []byte(operations)) == nil {
 		c.accepted++
 	}
 }
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -51,9 +51,14 @@
 	store   storeFake
 	listing map[string]model.Listing
 	records []model.Record
-	results []outcome
-	peers   map[string]origin
-	calls   int
+	// recording keeps records about single requests too.
+	recording bool
+	// occupied is the slot time used so far.
+	occupied time.Duration
+	results  []outcome
+	index    map[string]int
+	peers    map[string]origin
+	calls    int
 	// ran counts executions by request and by key.
 	ran     map[string]int
 	ranKey  map[string]int
@@ -187,7 +192,7 @@
 		regions: make(map[string]string), cut: make(map[[2]string]bool),
 		store:   storeFake{values: make(map[string]model.StoreValue), away: make(map[string]bool), delay: nearDelay},
 		listing: make(map[string]model.Listing), peers: make(map[string]origin),
-		ran: make(map[string]int), ranKey: make(map[string]int), ranLast: make(map[string]time.Time),
+		ran: make(map[string]int), ranKey: make(map[string]int), index: make(map[string]int), ranLast: make(map[string]time.Time),
 		places: make(map[string]string),
 	}
 }
@@ -372,7 +377,9 @@
 	case message.SendGossip:
 		w.gossip(n, x)
 	case message.Note:
-		w.records = append(w.records, x.Record)
+		if w.recording || x.Record.Request == "" {
+			w.records = append(w.records, x.Record)
+		}
 	case message.Exit:
 		n.alive = false
 		n.exited = true
@@ -567,6 +574,7 @@
 		})
 		return
 	}
+	w.occupied += took
 	w.after(took, func() {
 		u.busy--
 		w.ran[requestOf(x.ID)]++
@@ -628,18 +636,16 @@
 		})
 		return
 	}
-	for i := range w.results {
-		r := &w.results[len(w.results)-1-i]
-		if r.id == x.ID {
-			if r.at.IsZero() {
-				r.at = w.now.Add(clientDelay)
-				r.result = x.Result
-			} else {
-				w.t.Errorf("request %s is answered twice", x.ID)
-			}
-			return
-		}
+	i, ok := w.index[x.ID]
+	if !ok {
+		return
+	}
+	r := &w.results[i]
+	if !r.at.IsZero() {
+		w.t.Errorf("request %s is answered twice", x.ID)
 	}
+	r.at = w.now.Add(clientDelay)
+	r.result = x.Result
 }
 
 // send sends a request to an instance and returns its id.
@@ -651,6 +657,7 @@
 func (w *world) sendFrom(home, name, kind, key string) string {
 	w.calls++
 	id := fmt.Sprintf("r%d", w.calls)
+	w.index[id] = len(w.results)
 	w.results = append(w.results, outcome{id: id, kind: kind, key: key, home: home, due: w.now})
 	n := w.nodes[name]
 	request := model.Request{ID: id, Kind: kind, Key: key, Home: home, Digest: 7, BodyBytes: 100}
@@ -692,16 +699,6 @@
 	return err
 }
 
-func (w *world) result(id string) outcome {
-	for _, r := range w.results {
-		if r.id == id {
-			return r
-		}
-	}
-	w.t.Fatalf("no request %s", id)
-	return outcome{}
-}
-
 func (w *world) names() []string {
 	var names []string
 	for _, name := range sortedKeys(w.nodes) {
