--- a/internal/reducer/completion.go
+++ b/internal/reducer/completion.go
@@ -47,16 +47,32 @@
 	}
 }
 
-// mayEject keeps a part of the servers in use however badly they do.
+// mayEject keeps a part of the own servers in use however badly they do, but
+// gives up a single one where the failure domain has others.
 func (r *Reducer) mayEject(s *server) bool {
 	p := r.pool(s.Service)
-	ejected := 1
+	ejected := 0
 	for _, x := range p.servers {
 		if x != s && x.Ejected(r.now) {
 			ejected++
 		}
 	}
-	return float64(ejected) <= r.policy.Recovery.MaxEjected*float64(len(p.servers))
+	limit := int(r.policy.Recovery.MaxEjected * float64(len(p.servers)))
+	if r.serversOf(s.Service) > 1 {
+		limit = max(1, limit)
+	}
+	return ejected < limit
+}
+
+// serversOf counts the failure domain's servers of a service.
+func (r *Reducer) serversOf(service string) int {
+	n := 0
+	for _, a := range r.table.table.Assignments {
+		if a.Service == service {
+			n++
+		}
+	}
+	return n
 }
 
 func (r *Reducer) peerAnswered(e message.PeerAnswered) {
--- a/internal/reducer/once.go
+++ b/internal/reducer/once.go
@@ -164,15 +164,7 @@
 // claim asks the store for a caller's own key, within the instance's share of
 // the store's writes.
 func (r *Reducer) claim(w *work) {
-	if r.claims == nil {
-		r.claims = rate.NewLimiter(0, 0)
-	}
-	perSecond := r.policy.OnceOnly.ClaimsPerSecond
-	if r.claims.Limit() != rate.Limit(perSecond) {
-		r.claims.SetLimitAt(r.now, rate.Limit(perSecond))
-		r.claims.SetBurstAt(r.now, max(1, int(perSecond)))
-	}
-	if !r.claims.AllowN(r.now, 1) {
+	if !r.mayClaim() {
 		r.refuse(w, model.CodeClaimLimit, "use a ticket")
 		return
 	}
@@ -193,6 +185,15 @@
 	r.emit(message.Timer{At: w.request.Deadline, Event: message.Expired{ID: w.request.ID}})
 }
 
+// mayClaim bounds claims to a second's worth at once.
+func (r *Reducer) mayClaim() bool {
+	limit := rate.Limit(r.policy.OnceOnly.ClaimsPerSecond)
+	if r.claims == nil || r.claims.Limit() != limit {
+		r.claims = rate.NewLimiter(limit, max(1, int(limit)))
+	}
+	return r.claims.AllowN(r.now, 1)
+}
+
 func (r *Reducer) claimed(e message.Claimed) {
 	w, ok := r.works[e.ID]
 	if !ok || w.state != claiming {
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -217,7 +217,7 @@
 		work := x.Work.Duration
 		w.addServer(x.Server, x.Slots, func() time.Duration { return w.jitter(work) })
 	}
-	w.patch(0, "first", document(t, c))
+	assert.NilError(t, w.patch(0, "first", document(t, c)))
 	for _, domain := range sortedKeys(s.Listings) {
 		for _, x := range s.Listings[domain].Instances {
 			w.addNode(x.Instance)
