--- a/internal/reducer/gossip.go
+++ b/internal/reducer/gossip.go
@@ -92,7 +92,7 @@
 func (r *Reducer) contacts(domain string) []model.Instance {
 	var known []model.Instance
 	if view, ok := r.members.domains[domain]; ok && r.now.Sub(view.heard) <= remoteFresh {
-		for _, x := range sorted(view.members) {
+		for _, x := range view.sorted {
 			known = append(known, x.Instance)
 		}
 	}
@@ -182,7 +182,7 @@
 			return
 		}
 		x = newMember(d.Instance, nearRoundTrip)
-		r.members.own[d.Name] = x
+		r.members.add(x)
 		r.note("instance_seen", "", d.Name, "gossip", d.Incarnation)
 	}
 	if d.Leaving && !x.leaving {
@@ -230,6 +230,7 @@
 		named[e.Name] = x
 	}
 	view.members = named
+	view.sorted = sorted(named)
 }
 
 func (r *Reducer) guessRoundTrip(region string) time.Duration {
@@ -312,7 +313,7 @@
 
 func (r *Reducer) knownDigests() []model.Known {
 	known := make([]model.Known, 0, len(r.members.own))
-	for _, x := range sorted(r.members.own) {
+	for _, x := range r.members.sorted {
 		known = append(known, model.Known{Name: x.Name, Sequence: x.sequence})
 	}
 	return known
@@ -329,7 +330,7 @@
 func (r *Reducer) newerDigests(known []model.Known) []model.Digest {
 	has := byKnown(known)
 	newer := []model.Digest{r.digest()}
-	for _, x := range sorted(r.members.own) {
+	for _, x := range r.members.sorted {
 		if x.sequence > has[x.Name] {
 			newer = append(newer, x.digest)
 		}
--- a/internal/reducer/lookup.go
+++ b/internal/reducer/lookup.go
@@ -42,20 +42,21 @@
 
 // appendEntries adds a failure domain's instances, starting at a random one.
 func (r *Reducer) appendEntries(entries []model.Instance, domain string, random uint64) []model.Instance {
-	var known []model.Instance
+	known := r.known[:0]
 	if domain == r.Self.Domain && !r.stopping.active {
-		known = append(known, r.Self)
+		known = append(known, &r.Self)
 	}
-	for _, x := range r.members.in(r.now, domain) {
+	for x := range r.members.in(r.now, domain) {
 		if x.ready && !x.leaving {
-			known = append(known, x.Instance)
+			known = append(known, &x.Instance)
 		}
 	}
+	r.known = known
 	for i := range known {
 		if len(entries) == cap(entries) {
 			break
 		}
-		entries = append(entries, known[(random+uint64(i))%uint64(len(known))])
+		entries = append(entries, *known[(random+uint64(i))%uint64(len(known))])
 	}
 	return entries
 }
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 	"time"
@@ -52,11 +53,13 @@
 
 	heard   time.Time
 	members map[string]*member
+	sorted  []*member
 }
 
 // membership is what an instance knows of the others.
 type membership struct {
 	own     map[string]*member
+	sorted  []*member // own by name.
 	domains map[string]*domainView
 	seeds   map[string][]model.Instance
 }
@@ -108,22 +111,35 @@
 	return p.Slots - p.Busy - p.Queued - (x.sent[service] - x.sentBefore[service])
 }
 
-// in returns the instances of a failure domain that were heard of lately.
-func (m *membership) in(now time.Time, domain string) []*member {
-	var found []*member
-	view, ok := m.domains[domain]
-	if ok {
-		if now.Sub(view.heard) > remoteFresh {
-			return nil
+// in goes through the instances of a failure domain that were heard of lately.
+func (m *membership) in(now time.Time, domain string) iter.Seq[*member] {
+	return func(yield func(*member) bool) {
+		if view, ok := m.domains[domain]; ok {
+			if now.Sub(view.heard) <= remoteFresh {
+				each(view.sorted, yield)
+			}
+			return
+		}
+		for _, x := range m.sorted {
+			if x.Domain == domain && now.Sub(x.heard) < suspectAfter && !yield(x) {
+				return
+			}
 		}
-		return sorted(view.members)
 	}
-	for _, x := range sorted(m.own) {
-		if x.Domain == domain && now.Sub(x.heard) < suspectAfter {
-			found = append(found, x)
+}
+
+func each(members []*member, yield func(*member) bool) {
+	for _, x := range members {
+		if !yield(x) {
+			return
 		}
 	}
-	return found
+}
+
+// add takes in a new instance of the own failure domain.
+func (m *membership) add(x *member) {
+	m.own[x.Name] = x
+	m.sorted = sorted(m.own)
 }
 
 func sorted(members map[string]*member) []*member {
@@ -136,7 +152,7 @@
 func (m *membership) free(now time.Time, domain, service string, tried []string) *member {
 	var best *member
 	most := 0
-	for _, x := range m.in(now, domain) {
+	for x := range m.in(now, domain) {
 		if slices.Contains(tried, x.Name) {
 			continue
 		}
@@ -168,7 +184,7 @@
 func (m *membership) shortest(now time.Time, domain, service string, rank int, tried []string) (*member, time.Duration) {
 	var best *member
 	var least time.Duration
-	for _, x := range m.in(now, domain) {
+	for x := range m.in(now, domain) {
 		wait, ok := x.wait(now, service, rank)
 		if !ok || slices.Contains(tried, x.Name) {
 			continue
@@ -182,7 +198,7 @@
 
 // serves reports whether a failure domain has any server of a service in use.
 func (m *membership) serves(now time.Time, domain, service string) bool {
-	for _, x := range m.in(now, domain) {
+	for x := range m.in(now, domain) {
 		if x.pools[service].Slots > 0 {
 			return true
 		}
@@ -211,13 +227,18 @@
 	if x == nil {
 		return false
 	}
-	return slices.Contains(m.in(now, x.Domain), x)
+	for y := range m.in(now, x.Domain) {
+		if y == x {
+			return true
+		}
+	}
+	return false
 }
 
 // live returns the own failure domain's other instances that were heard lately.
 func (m *membership) live(now time.Time) []*member {
 	var found []*member
-	for _, x := range sorted(m.own) {
+	for _, x := range m.sorted {
 		if now.Sub(x.heard) < suspectAfter {
 			found = append(found, x)
 		}
@@ -250,7 +271,7 @@
 // delegate reports whether this instance speaks for its failure domain.
 func (r *Reducer) delegate() bool {
 	ahead := 0
-	for _, x := range r.members.live(r.now) {
+	for x := range r.members.in(r.now, r.Self.Domain) {
 		if x.Name < r.Self.Name && !x.leaving {
 			ahead++
 		}
@@ -260,7 +281,7 @@
 
 // scribe reports whether this instance writes its failure domain's table.
 func (r *Reducer) scribe() bool {
-	for _, x := range r.members.live(r.now) {
+	for x := range r.members.in(r.now, r.Self.Domain) {
 		if x.Name < r.Self.Name && !x.leaving {
 			return false
 		}
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -74,6 +74,7 @@
 	retained  map[string]bool
 
 	members   membership
+	known     []*model.Instance // Scratch space of look-ups.
 	leaser    leaser.Leaser
 	assigner  assigner.Assigner
 	table     tableState
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -23,7 +23,7 @@
 	for _, name := range slices.Sorted(maps.Keys(r.servers)) {
 		s.Servers = append(s.Servers, r.serverStatus(r.servers[name]))
 	}
-	for _, x := range sorted(r.members.own) {
+	for _, x := range r.members.sorted {
 		s.Members = append(s.Members, model.MemberStatus{
 			Name:                 x.Name,
 			Address:              x.Address,
@@ -65,7 +65,7 @@
 			status.Heard = r.now.Sub(view.heard) <= remoteFresh
 			status.OldestVersion = view.OldestVersion
 			status.Laggards = view.Laggards
-			for _, x := range sorted(view.members) {
+			for _, x := range view.sorted {
 				status.Addresses = append(status.Addresses, x.Address)
 			}
 		}
