Bound gossip at the future size; remember earlier owners by incarnation

Ruled out: slower gossip alone (spreads leases too slowly); a tree of instances (a role set apart).

Change: one instance writes a failure domain's summary, at a pace set by the number of domains; addresses travel only to those who lack them; what is known is named by four-byte hashes; confirmations of the lease are asked for in brief. Unreachable instances are left alone for a second. Tables remember earlier owners with their incarnation for two minutes.

--- a/internal/assigner/assigner.go
+++ b/internal/assigner/assigner.go
@@ -7,7 +7,7 @@
 // Usage:
 //
 //	a := assigner.Assigner{Domain: "gent-a"}
-//	next, changed := a.Plan(table, members, servers, acknowledged, now)
+//	next, changed := a.Plan(table, members, servers, now)
 //
 // The caller writes next to the store by compare-and-swap.
 package assigner
@@ -21,6 +21,14 @@
 	"github.com/yuccathread/yuccathread/internal/model"
 )
 
+const (
+	// maxPrevious bounds the earlier owners that a table remembers of a server.
+	maxPrevious = 8
+	// memory is how long earlier owners are remembered. It is well above the
+	// longest lease and deadline.
+	memory = 2 * time.Minute
+)
+
 // Assigner plans tables of one failure domain.
 type Assigner struct {
 	Domain string
@@ -28,31 +36,29 @@
 
 // plan is one run of Plan.
 type plan struct {
-	next         model.Table
-	members      map[string]model.Instance
-	former       map[string]model.Instance
-	acknowledged map[string]int64
-	loads        map[string]map[string]int // Service, member.
-	changed      bool
+	next    model.Table
+	members map[string]model.Instance
+	former  map[string]model.Instance
+	loads   map[string]map[string]int // Service, member.
+	changed bool
+	now     time.Time
 }
 
 // Plan returns the table that follows from the live members and the listed
-// servers, and whether it differs. acknowledged maps members to the newest
-// table revision that they have applied. Servers that leave stay with their
-// owner, which finishes their work, until they are no longer listed.
+// servers, and whether it differs. Servers that leave stay with their owner,
+// which finishes their work, until they are no longer listed.
 func (a *Assigner) Plan(
 	table model.Table,
 	members []model.Instance,
 	servers []model.Server,
-	acknowledged map[string]int64,
 	now time.Time,
 ) (model.Table, bool) {
 	p := &plan{
-		next:         model.Table{Revision: table.Revision + 1, Domain: a.Domain},
-		members:      byName(members),
-		former:       byName(table.Members),
-		acknowledged: acknowledged,
-		loads:        make(map[string]map[string]int),
+		next:    model.Table{Revision: table.Revision + 1, Domain: a.Domain},
+		members: byName(members),
+		former:  byName(table.Members),
+		now:     now,
+		loads:   make(map[string]map[string]int),
 	}
 	p.next.Members = slices.SortedFunc(slices.Values(members), compareInstances)
 	p.changed = !slices.Equal(p.next.Members, table.Members)
@@ -62,7 +68,7 @@
 	}
 	sorted := slices.SortedFunc(slices.Values(servers), compareServers)
 	for _, s := range sorted {
-		p.carry(s, old, now)
+		p.carry(s, old)
 	}
 	p.changed = p.changed || len(sorted) != len(table.Assignments)
 	p.balance()
@@ -70,10 +76,10 @@
 }
 
 // carry takes a server over with its owner, if that is still a member.
-func (p *plan) carry(s model.Server, old map[string]model.Assignment, now time.Time) {
+func (p *plan) carry(s model.Server, old map[string]model.Assignment) {
 	x, ok := old[s.Name]
 	if !ok || x.Address != s.Address {
-		x = model.Assignment{Server: s, SinceMS: now.UnixMilli(), Revision: p.next.Revision}
+		x = model.Assignment{Server: s, SinceMS: p.now.UnixMilli(), Revision: p.next.Revision}
 		p.changed = true
 	}
 	if x.Leaving != s.Leaving {
@@ -105,32 +111,34 @@
 		p.release(x)
 		return
 	}
+	p.remember(x)
 	x.OwnerIncarnation = owner.Incarnation
-	if !slices.Contains(x.Previous, x.Owner) {
-		x.Previous = append(x.Previous, x.Owner)
-	}
 	x.Revision = p.next.Revision
 }
 
 // release takes a server from its owner. The owners that may still use it
 // are remembered until they acknowledge the table or their lease is over.
 func (p *plan) release(x *model.Assignment) {
-	var previous []string
-	for _, name := range x.Previous {
-		if p.acknowledged[name] < x.Revision {
-			previous = append(previous, name)
-		}
-	}
-	if !slices.Contains(previous, x.Owner) {
-		previous = append(previous, x.Owner)
-	}
-	x.Previous = previous
+	p.remember(x)
 	x.Owner = ""
 	x.OwnerIncarnation = ""
 	x.Revision = p.next.Revision
 	p.changed = true
 }
 
+// remember adds the owner to the earlier ones, of which it forgets those whose
+// leases and work are long over.
+func (p *plan) remember(x *model.Assignment) {
+	if p.now.Sub(time.UnixMilli(x.ChangedMS)) > memory {
+		x.Previous = nil
+	}
+	x.ChangedMS = p.now.UnixMilli()
+	x.Previous = append(x.Previous, model.Owner{Name: x.Owner, Incarnation: x.OwnerIncarnation})
+	if excess := len(x.Previous) - maxPrevious; excess > 0 {
+		x.Previous = x.Previous[excess:]
+	}
+}
+
 // balance gives servers without an owner to the members that have fewest of
 // their service, then evens out differences of more than one.
 func (p *plan) balance() {
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -51,7 +51,7 @@
 
 // fleet is two failure domains: gent-a with two instances, namur-a with one.
 type fleet struct {
-	t         *testing.T
+	t         testing.TB
 	dir       string
 	platform  string
 	processes map[string]*process
@@ -68,7 +68,7 @@
 	done      chan error
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer l.Close()
@@ -96,7 +96,7 @@
   "once_only": {"ticket_lifetime": "10m", "key_lifetime": "24h", "claims_per_second": 1000}
 }`
 
-func startFleet(t *testing.T) *fleet {
+func startFleet(t testing.TB) *fleet {
 	t.Helper()
 	f := &fleet{
 		t: t, dir: t.TempDir(), platform: freeAddress(t), processes: make(map[string]*process),
@@ -378,7 +378,7 @@
 	return sums
 }
 
-func readAll(t *testing.T, response *http.Response) string {
+func readAll(t testing.TB, response *http.Response) string {
 	body, err := io.ReadAll(response.Body)
 	assert.NilError(t, err)
 	return string(body)
--- a/internal/model/gossip.go
+++ b/internal/model/gossip.go
@@ -11,9 +11,6 @@
 	Ready                bool
 	ConfigurationVersion int64
 	TableRevision        int64
-	// StoreAge is how long ago the store last confirmed the table to this
-	// instance, directly or through others.
-	StoreAge time.Duration
 	// Pools is the state of the instance's own servers by service.
 	Pools []Pool
 	// Foreign counts requests in flight on servers that the instance no longer owns.
@@ -54,10 +51,13 @@
 // Summary is what a failure domain tells the other failure domains.
 type Summary struct {
 	Domain   string
-	Author   string
 	Sequence uint64
-	// Entries are the instances that take work from elsewhere.
-	Entries []SummaryEntry
+	// Roster identifies Identities, which are left out for a receiver that has
+	// them. They are the instances that take work from elsewhere.
+	Roster     uint64
+	Identities []Instance
+	// States belong to Identities, in their order.
+	States []MemberState
 	// OldestVersion is the lowest configuration version in force in the domain.
 	OldestVersion int64
 	// Laggards are instances below the newest version that the author knows.
@@ -65,32 +65,39 @@
 	Shares   []Share
 }
 
-// SummaryEntry is one instance in a Summary.
-type SummaryEntry struct {
-	Instance
+// MemberState is the changing part of an instance in a Summary.
+type MemberState struct {
 	Leaving bool
 	Pools   []Pool
 }
 
 // Gossip is one exchange between two instances. Its reply has the same shape.
 type Gossip struct {
-	From      Instance
-	Stamp     Stamp
+	From  Instance
+	Stamp Stamp
+	// Versions that the sender can hand out.
+	ConfigurationVersion int64
+	TableRevision        int64
+	// StoreAge is how long ago the store last confirmed the table to the
+	// sender, directly or through others.
+	StoreAge time.Duration
+	// Brief asks for an answer without digests and summaries.
+	Brief     bool
 	Digests   []Digest
 	Summaries []Summary
-	// Digest and summary sequences that the sender has, so that the reply
-	// carries only what is newer.
+	// What the sender has, so that the reply carries only what is newer.
 	KnownDigests   []Known
 	KnownSummaries []Known
-	// Versions that the sender can hand out.
-	ConfigurationVersion int64
-	TableRevision        int64
+	// WantSummaries asks for summaries.
+	WantSummaries bool
 }
 
-// Known names the newest sequence held of one instance or failure domain.
+// Known says what a sender has of one instance or failure domain. Name is the
+// hash of its name.
 type Known struct {
-	Name     string
+	Name     uint32
 	Sequence uint64
+	Roster   uint64
 }
 
 // Nothing is the argument of calls that need none.
--- a/internal/model/membership.go
+++ b/internal/model/membership.go
@@ -34,6 +34,12 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// Owner is one incarnation of an instance as the owner of a server.
+type Owner struct {
+	Name        string `json:"name"`
+	Incarnation string `json:"incarnation"`
+}
+
 // Assignment says which instance alone dispatches to a server.
 type Assignment struct {
 	Server
@@ -42,8 +48,11 @@
 	OwnerIncarnation string `json:"owner_incarnation"`
 	// Revision of the table in which the owner last changed.
 	Revision int64 `json:"revision"`
-	// Previous names owners that may not know yet that they lost the server.
-	Previous []string `json:"previous,omitempty"`
+	// Previous holds owners that may not know yet that they lost the server,
+	// or may have left work there.
+	Previous []Owner `json:"previous,omitempty"`
+	// ChangedMS is the wall time in Unix milliseconds at which the owner changed.
+	ChangedMS int64 `json:"changed_ms"`
 	// SinceMS is the wall time in Unix milliseconds at which the server joined.
 	SinceMS int64 `json:"since_ms"`
 }
--- a/internal/reducer/bench_test.go
+++ b/internal/reducer/bench_test.go
@@ -89,8 +89,9 @@
 	}
 	for i := 1; i < s.domains; i++ {
 		summary := model.Summary{Domain: fmt.Sprintf("d%d", i), Sequence: uint64(now.UnixMilli()), OldestVersion: 1}
-		for j := range 8 {
-			summary.Entries = append(summary.Entries, model.SummaryEntry{Instance: instance(i, j), Pools: pool})
+		for j := range 4 {
+			summary.Identities = append(summary.Identities, instance(i, j))
+			summary.States = append(summary.States, model.MemberState{Pools: pool})
 		}
 		g.Summaries = append(g.Summaries, summary)
 	}
--- a/internal/reducer/completion.go
+++ b/internal/reducer/completion.go
@@ -82,7 +82,10 @@
 	}
 	m := w.peer
 	m.receive(w.kind.Service)
-	if e.Result.Outcome == model.NotRun {
+	switch {
+	case e.Result.Code == model.CodePeerFailed:
+		m.fail(r.now)
+	case e.Result.Outcome == model.NotRun:
 		m.refuse(r.now, w.kind.Service)
 	}
 	if !w.bound {
--- a/internal/reducer/configuration.go
+++ b/internal/reducer/configuration.go
@@ -43,5 +43,5 @@
 	if r.policy == nil || r.now.Sub(r.started) < settleTime {
 		return false
 	}
-	return r.table.read || r.table.table.Revision > 0 || r.now.Sub(r.started) > suspectAfter
+	return r.table.read || r.table.table.Revision > 0 || r.now.Sub(r.started) > smallSuspicion
 }
--- a/internal/reducer/gossip.go
+++ b/internal/reducer/gossip.go
@@ -6,31 +6,56 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/yuccathread/yuccathread/internal/message"
 	"github.com/yuccathread/yuccathread/internal/model"
 )
 
 const (
-	// gossipInterval is the time between two rounds of gossip.
+	// gossipInterval is the time between two rounds of gossip in a small
+	// failure domain, largeInterval in a large one.
 	gossipInterval = 500 * time.Millisecond
+	largeInterval  = time.Second
+	// largeDomain is the number of instances from which a domain is large.
+	largeDomain = 5
 	// siblingFanOut and domainFanOut bound the instances asked in one round.
 	siblingFanOut = 2
-	domainFanOut  = 2
+	domainFanOut  = 1
+	// summaryPace is the time between two summaries of a failure domain for
+	// each failure domain that has to take them in.
+	summaryPace = 60 * time.Millisecond
 	// seedInterval is the time between two readings of the platform's list for
 	// a failure domain that nothing is heard of.
 	seedInterval = 4 * time.Second
 	// summaryEntries bounds the instances that a summary names.
-	summaryEntries = 8
+	summaryEntries = 4
 	// shareFloor leaves out flows that stay at home but for this fraction.
 	shareFloor = 0.01
 )
 
+// interval is the time between two rounds of gossip.
+func (r *Reducer) interval() time.Duration {
+	if len(r.members.own) < largeDomain {
+		return gossipInterval
+	}
+	return largeInterval
+}
+
 // gossip asks some instances for what they know.
 func (r *Reducer) gossip(random uint64) {
-	for _, x := range r.siblings(random) {
-		r.emit(message.SendGossip{Peer: x, Gossip: r.question(x)})
+	r.refreshDigest()
+	r.refreshSummary()
+	for i, x := range r.siblings(random) {
+		g := r.question(x)
+		if i == 0 {
+			g.WantSummaries = true
+			g.KnownSummaries = r.knownSummaries()
+		}
+		r.emit(message.SendGossip{Peer: x, Gossip: g})
 	}
 	if !r.delegate() {
+		r.askReader(random)
 		return
 	}
 	for _, x := range r.strangers(random) {
@@ -38,8 +63,7 @@
 	}
 }
 
-// siblings picks instances of the own failure domain: by turns, and always one
-// that reads the store, so that its confirmations spread.
+// siblings picks instances of the own failure domain by turns.
 func (r *Reducer) siblings(random uint64) []model.Instance {
 	known := make(map[string]model.Instance)
 	for _, x := range r.members.seeds[r.Self.Domain] {
@@ -57,14 +81,24 @@
 	for _, name := range pick(names, random, siblingFanOut) {
 		picked = append(picked, known[name])
 	}
-	if len(names) <= siblingFanOut || r.delegate() {
-		return picked
+	return picked
+}
+
+// askReader asks one of the instances that read the store whether the table
+// still stands, in a few bytes.
+func (r *Reducer) askReader(random uint64) {
+	var readers []model.Instance
+	for x := range r.members.in(r.now, r.Self.Domain) {
+		if !x.leaving && len(readers) < delegates {
+			readers = append(readers, x.Instance)
+		}
 	}
-	reader := known[names[random%delegates]]
-	if !slices.Contains(picked, reader) {
-		picked[0] = reader
+	if len(readers) == 0 {
+		return
 	}
-	return picked
+	g := r.envelope()
+	g.Brief = true
+	r.emit(message.SendGossip{Peer: readers[random%uint64(len(readers))], Gossip: g})
 }
 
 // strangers picks one instance each of some other failure domains.
@@ -99,7 +133,7 @@
 	if len(known) == 0 {
 		known = r.members.seeds[domain]
 	}
-	return known[:min(len(known), delegates)]
+	return known
 }
 
 func pick(names []string, random uint64, count int) []string {
@@ -114,12 +148,15 @@
 func (r *Reducer) question(to model.Instance) model.Gossip {
 	g := r.envelope()
 	if to.Domain == r.Self.Domain {
-		g.Digests = []model.Digest{r.digest()}
+		g.Digests = []model.Digest{r.ownDigest}
 		g.KnownDigests = r.knownDigests()
-	} else {
-		g.Summaries = r.newerSummaries(nil, r.Self.Domain)
+		return g
 	}
+	g.WantSummaries = true
 	g.KnownSummaries = r.knownSummaries()
+	if r.ownSummary.Sequence > 0 {
+		g.Summaries = []model.Summary{r.ownSummary}
+	}
 	return g
 }
 
@@ -129,16 +166,19 @@
 		Stamp:                r.stamper.Next(r.now),
 		ConfigurationVersion: r.head.Version,
 		TableRevision:        r.table.table.Revision,
+		StoreAge:             r.leaser.Age(r.now),
 	}
 }
 
 func (r *Reducer) gossiped(e message.Gossiped) {
 	r.learn(e.Gossip, time.Time{})
 	g := r.envelope()
-	if e.Gossip.From.Domain == r.Self.Domain {
+	if !e.Gossip.Brief && e.Gossip.From.Domain == r.Self.Domain {
 		g.Digests = r.newerDigests(e.Gossip.KnownDigests)
 	}
-	g.Summaries = r.newerSummaries(e.Gossip.KnownSummaries, "")
+	if e.Gossip.WantSummaries {
+		g.Summaries = r.newerSummaries(e.Gossip.KnownSummaries)
+	}
 	r.emit(message.ReplyGossip{Call: e.Call, Gossip: g})
 }
 
@@ -149,7 +189,12 @@
 	}
 }
 
-func (r *Reducer) gossipFailed(message.GossipFailed) {}
+// gossipFailed takes silence for a sign, long before it is taken for death.
+func (r *Reducer) gossipFailed(e message.GossipFailed) {
+	if x := r.members.find(e.Peer.Name, e.Peer.Incarnation); x != nil {
+		x.fail(r.now)
+	}
+}
 
 // learn takes in what another instance told. started is when it was asked,
 // zero if it told unasked.
@@ -215,19 +260,25 @@
 		view = &domainView{members: make(map[string]*member)}
 		r.members.domains[s.Domain] = view
 	}
+	if len(s.Identities) == 0 && s.Roster == view.Roster {
+		s.Identities = view.Identities
+	}
+	if len(s.Identities) != len(s.States) {
+		return // The sender will be told that the roster is missing here.
+	}
 	view.Summary = s
 	view.heard = r.now
-	named := make(map[string]*member, len(s.Entries))
-	for _, e := range s.Entries {
-		x, ok := view.members[e.Name]
-		if !ok || x.Incarnation != e.Incarnation {
-			x = newMember(e.Instance, r.guessRoundTrip(e.Region))
+	named := make(map[string]*member, len(s.Identities))
+	for i, identity := range s.Identities {
+		x, ok := view.members[identity.Name]
+		if !ok || x.Incarnation != identity.Incarnation {
+			x = newMember(identity, r.guessRoundTrip(identity.Region))
 		}
 		x.ready = true
-		x.leaving = e.Leaving
+		x.leaving = s.States[i].Leaving
 		x.heard = r.now
-		x.update(e.Pools)
-		named[e.Name] = x
+		x.update(s.States[i].Pools)
+		named[identity.Name] = x
 	}
 	view.members = named
 	view.sorted = sorted(named)
@@ -240,17 +291,16 @@
 	return farRoundTrip
 }
 
-// digest describes this instance. Sequences are wall times, so that those of
-// a restarted instance are higher.
-func (r *Reducer) digest() model.Digest {
-	return model.Digest{
+// refreshDigest describes this instance anew. Sequences are wall times, so
+// that those of a restarted instance are higher.
+func (r *Reducer) refreshDigest() {
+	r.ownDigest = model.Digest{
 		Instance:             r.Self,
 		Sequence:             uint64(r.now.UnixMilli()),
 		Leaving:              r.stopping.active,
 		Ready:                r.Ready(),
 		ConfigurationVersion: r.head.Version,
 		TableRevision:        r.table.table.Revision,
-		StoreAge:             r.leaser.Age(r.now),
 		Pools:                r.poolDigests(),
 		Foreign:              r.foreignDigests(),
 		Listed:               r.delegate() && r.table.listing != nil,
@@ -314,7 +364,7 @@
 func (r *Reducer) knownDigests() []model.Known {
 	known := make([]model.Known, 0, len(r.members.own))
 	for _, x := range r.members.sorted {
-		known = append(known, model.Known{Name: x.Name, Sequence: x.sequence})
+		known = append(known, model.Known{Name: hash(x.Name), Sequence: x.sequence})
 	}
 	return known
 }
@@ -322,80 +372,101 @@
 func (r *Reducer) knownSummaries() []model.Known {
 	known := make([]model.Known, 0, len(r.members.domains))
 	for _, domain := range slices.Sorted(maps.Keys(r.members.domains)) {
-		known = append(known, model.Known{Name: domain, Sequence: r.members.domains[domain].Sequence})
+		view := r.members.domains[domain]
+		known = append(known, model.Known{Name: hash(domain), Sequence: view.Sequence, Roster: view.Roster})
 	}
 	return known
 }
 
+// hash shortens a name to four bytes. Two names with one hash only cost bytes
+// or a round: whatever is newer comes again with the next sequence.
+func hash(name string) uint32 {
+	return uint32(xxhash.Sum64String(name))
+}
+
 func (r *Reducer) newerDigests(known []model.Known) []model.Digest {
 	has := byKnown(known)
-	newer := []model.Digest{r.digest()}
+	newer := []model.Digest{r.ownDigest}
 	for _, x := range r.members.sorted {
-		if x.sequence > has[x.Name] {
+		if x.sequence > has[hash(x.Name)].Sequence {
 			newer = append(newer, x.digest)
 		}
 	}
 	return newer
 }
 
-// newerSummaries returns what is newer than known, or only one failure
-// domain's summary.
-func (r *Reducer) newerSummaries(known []model.Known, only string) []model.Summary {
+// newerSummaries returns what is newer than known, without rosters that are known.
+func (r *Reducer) newerSummaries(known []model.Known) []model.Summary {
 	has := byKnown(known)
 	var newer []model.Summary
-	if r.delegate() && r.policy != nil {
-		newer = append(newer, r.summary())
-	}
-	if only != "" {
-		return newer
+	add := func(s model.Summary) {
+		k := has[hash(s.Domain)]
+		if s.Sequence <= k.Sequence {
+			return
+		}
+		if s.Roster == k.Roster {
+			s.Identities = nil
+		}
+		newer = append(newer, s)
 	}
+	add(r.ownSummary)
 	for _, domain := range slices.Sorted(maps.Keys(r.members.domains)) {
 		view := r.members.domains[domain]
-		if view.Sequence > has[domain] && r.now.Sub(view.heard) <= remoteFresh {
-			newer = append(newer, view.Summary)
+		if r.now.Sub(view.heard) <= remoteFresh {
+			add(view.Summary)
 		}
 	}
 	return newer
 }
 
-func byKnown(known []model.Known) map[string]uint64 {
-	m := make(map[string]uint64, len(known))
+func byKnown(known []model.Known) map[uint32]model.Known {
+	m := make(map[uint32]model.Known, len(known))
 	for _, k := range known {
-		m[k.Name] = k.Sequence
+		m[k.Name] = k
 	}
 	return m
 }
 
-// summary describes the own failure domain to the others.
-func (r *Reducer) summary() model.Summary {
+// refreshSummary describes the own failure domain to the others. Only one
+// instance does it, at a pace that the number of failure domains sets.
+func (r *Reducer) refreshSummary() {
+	if r.policy == nil || !r.scribe() {
+		r.ownSummary = model.Summary{}
+		return
+	}
+	pace := max(gossipInterval, summaryPace*time.Duration(len(r.policy.regionOf)))
+	if !r.due(&r.schedules.summary, pace-tickSlack) {
+		return
+	}
+	r.ownSummary = r.summarize()
+}
+
+func (r *Reducer) summarize() model.Summary {
 	s := model.Summary{
 		Domain:        r.Self.Domain,
-		Author:        r.Self.Name,
 		Sequence:      uint64(r.now.UnixMilli()),
 		OldestVersion: r.head.Version,
 		Shares:        r.shareDigests(),
 	}
+	add := func(i model.Instance, leaving bool, pools []model.Pool) {
+		if len(s.Identities) < summaryEntries {
+			s.Identities = append(s.Identities, i)
+			s.States = append(s.States, model.MemberState{Leaving: leaving, Pools: pools})
+		}
+	}
 	if r.Ready() {
-		s.Entries = append(s.Entries, model.SummaryEntry{
-			Instance: r.Self,
-			Leaving:  r.stopping.active,
-			Pools:    r.poolDigests(),
-		})
+		add(r.Self, r.stopping.active, r.ownDigest.Pools)
 	}
 	newest := r.head.Version
-	for _, x := range r.members.live(r.now) {
+	for x := range r.members.in(r.now, r.Self.Domain) {
 		newest = max(newest, x.version)
 		s.OldestVersion = min(s.OldestVersion, x.version)
 		s.Shares = append(s.Shares, x.digest.Shares...)
-		if x.ready && len(s.Entries) < summaryEntries {
-			s.Entries = append(s.Entries, model.SummaryEntry{
-				Instance: x.Instance,
-				Leaving:  x.leaving,
-				Pools:    x.digest.Pools,
-			})
+		if x.ready {
+			add(x.Instance, x.leaving, x.digest.Pools)
 		}
 	}
-	for _, x := range r.members.live(r.now) {
+	for x := range r.members.in(r.now, r.Self.Domain) {
 		if x.version < newest {
 			s.Laggards = append(s.Laggards, x.Name)
 		}
@@ -403,5 +474,18 @@
 	if r.head.Version < newest {
 		s.Laggards = append(s.Laggards, r.Self.Name)
 	}
+	s.Roster = rosterOf(s.Identities)
 	return s
 }
+
+// rosterOf identifies a list of instances.
+func rosterOf(identities []model.Instance) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, i := range identities {
+		for _, text := range []string{i.Name, i.Incarnation, i.Address, i.PeerAddress} {
+			_, _ = d.WriteString(text + "\n")
+		}
+	}
+	return d.Sum64()
+}
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -12,13 +12,17 @@
 )
 
 const (
-	// suspectAfter is the silence after which an instance of the own failure
-	// domain is taken for dead.
-	suspectAfter = 3 * time.Second
+	// smallSuspicion and largeSuspicion are the silence after which an instance
+	// of the own failure domain is taken for dead, by the domain's size: word of
+	// it takes more rounds in a large one.
+	smallSuspicion = 3 * time.Second
+	largeSuspicion = 6 * time.Second
 	// remoteFresh is the age up to which another failure domain's summary is used.
-	remoteFresh = 6 * time.Second
+	remoteFresh = 10 * time.Second
 	// memberHold leaves an instance alone for a service after it refused work.
 	memberHold = 150 * time.Millisecond
+	// failureHold leaves an instance alone that could not be reached.
+	failureHold = time.Second
 	// delegates is the number of instances that speak for their failure
 	// domain: they read the store and the list, and gossip with other domains.
 	delegates = 2
@@ -45,6 +49,8 @@
 	// sentBefore is sent as it was when pools was heard.
 	sentBefore map[string]int
 	held       map[string]time.Time
+	// failing is the time until which the instance is left alone.
+	failing time.Time
 }
 
 // domainView is another failure domain as its summary describes it.
@@ -92,6 +98,16 @@
 	x.held[service] = now.Add(memberHold)
 }
 
+// fail leaves an instance alone that could not be reached.
+func (x *member) fail(now time.Time) {
+	x.failing = now.Add(failureHold)
+}
+
+// takes reports whether work of a service may be handed to an instance.
+func (x *member) takes(now time.Time, service string) bool {
+	return !x.leaving && x.ready && !now.Before(x.held[service]) && !now.Before(x.failing)
+}
+
 // update takes over the pools of a newer digest or summary.
 func (x *member) update(pools []model.Pool) {
 	x.pools = make(map[string]model.Pool, len(pools))
@@ -105,7 +121,7 @@
 // by what was sent there and answered since.
 func (x *member) free(now time.Time, service string) int {
 	p, ok := x.pools[service]
-	if !ok || x.leaving || !x.ready || now.Before(x.held[service]) {
+	if !ok || !x.takes(now, service) {
 		return 0
 	}
 	return p.Slots - p.Busy - p.Queued - (x.sent[service] - x.sentBefore[service])
@@ -121,7 +137,7 @@
 			return
 		}
 		for _, x := range m.sorted {
-			if x.Domain == domain && now.Sub(x.heard) < suspectAfter && !yield(x) {
+			if x.Domain == domain && now.Sub(x.heard) < m.suspectAfter() && !yield(x) {
 				return
 			}
 		}
@@ -136,6 +152,14 @@
 	}
 }
 
+// suspectAfter is the silence after which an instance is taken for dead.
+func (m *membership) suspectAfter() time.Duration {
+	if len(m.own) < largeDomain {
+		return smallSuspicion
+	}
+	return largeSuspicion
+}
+
 // add takes in a new instance of the own failure domain.
 func (m *membership) add(x *member) {
 	m.own[x.Name] = x
@@ -168,10 +192,7 @@
 // instance takes no work of the service.
 func (x *member) wait(now time.Time, service string, rank int) (time.Duration, bool) {
 	p, ok := x.pools[service]
-	if !ok || p.Slots == 0 || x.leaving || !x.ready || rank >= len(p.Waits) {
-		return 0, false
-	}
-	if now.Before(x.held[service]) {
+	if !ok || p.Slots == 0 || rank >= len(p.Waits) || !x.takes(now, service) {
 		return 0, false
 	}
 	since := max(0, x.sent[service]-x.sentBefore[service])
@@ -235,21 +256,13 @@
 	return false
 }
 
-// live returns the own failure domain's other instances that were heard lately.
-func (m *membership) live(now time.Time) []*member {
-	var found []*member
-	for _, x := range m.sorted {
-		if now.Sub(x.heard) < suspectAfter {
-			found = append(found, x)
-		}
-	}
-	return found
-}
-
 // shares returns where the fleet sends a flow, by failure domain.
 func (m *membership) shares(now time.Time, f flow) map[string]float64 {
 	totals := make(map[string]float64)
-	for _, x := range m.live(now) {
+	for _, x := range m.sorted {
+		if now.Sub(x.heard) >= m.suspectAfter() {
+			continue
+		}
 		addShares(totals, x.digest.Shares, f)
 	}
 	for _, view := range m.domains {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -73,12 +73,14 @@
 	unsettled map[string]model.Claim
 	retained  map[string]bool
 
-	members   membership
-	known     []*model.Instance // Scratch space of look-ups.
-	leaser    leaser.Leaser
-	assigner  assigner.Assigner
-	table     tableState
-	schedules schedules
+	members    membership
+	ownDigest  model.Digest
+	ownSummary model.Summary
+	known      []*model.Instance // Scratch space of look-ups.
+	leaser     leaser.Leaser
+	assigner   assigner.Assigner
+	table      tableState
+	schedules  schedules
 
 	stopping stopping
 }
--- a/internal/reducer/schedule.go
+++ b/internal/reducer/schedule.go
@@ -15,13 +15,15 @@
 	loadInterval = time.Second
 	// forgetInterval is the time between two searches for expired records.
 	forgetInterval = 10 * time.Second
+	// tickSlack lets an action run a tick early rather than a tick late.
+	tickSlack = 50 * time.Millisecond
 	// bootInterval is storeInterval for an instance without a configuration.
 	bootInterval = 250 * time.Millisecond
 )
 
 // schedules holds the times at which periodic actions are due.
 type schedules struct {
-	gossip, store, list, load, seeds, settle, forget time.Time
+	gossip, summary, store, list, load, seeds, settle, forget time.Time
 }
 
 // due reports whether an action's time has come and sets the next one.
@@ -35,7 +37,7 @@
 
 func (r *Reducer) tick(e message.Ticked) {
 	s := &r.schedules
-	if r.due(&s.gossip, gossipInterval) {
+	if r.due(&s.gossip, r.interval()) {
 		r.gossip(e.Random)
 	}
 	r.tickPlatform()
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -27,7 +27,7 @@
 		s.Members = append(s.Members, model.MemberStatus{
 			Name:                 x.Name,
 			Address:              x.Address,
-			Alive:                r.now.Sub(x.heard) < suspectAfter,
+			Alive:                r.now.Sub(x.heard) < r.members.suspectAfter(),
 			Leaving:              x.leaving,
 			ConfigurationVersion: x.version,
 		})
@@ -75,7 +75,7 @@
 }
 
 func (r *Reducer) ownDomainStatus() model.DomainStatus {
-	summary := r.summary()
+	summary := r.summarize()
 	status := model.DomainStatus{
 		Name:          r.Self.Domain,
 		Heard:         true,
@@ -83,7 +83,7 @@
 		Laggards:      summary.Laggards,
 		Addresses:     []string{r.Self.Address},
 	}
-	for _, x := range r.members.live(r.now) {
+	for x := range r.members.in(r.now, r.Self.Domain) {
 		status.Addresses = append(status.Addresses, x.Address)
 	}
 	return status
--- a/internal/reducer/table.go
+++ b/internal/reducer/table.go
@@ -88,11 +88,7 @@
 	if started.IsZero() || g.TableRevision < r.table.table.Revision || g.TableRevision == 0 {
 		return
 	}
-	for _, d := range g.Digests {
-		if d.Name == g.From.Name && d.StoreAge > 0 {
-			r.leaser.Confirm(started.Add(-d.StoreAge))
-		}
-	}
+	r.leaser.Confirm(started.Add(-g.StoreAge))
 }
 
 // applyTable takes over a table with a higher revision.
@@ -139,24 +135,43 @@
 		s.usable = r.now.Add(wait)
 		s.cautious = s.usable.Add(cautionPeriod)
 	}
-	for _, name := range a.Previous {
-		if x, ok := r.members.own[name]; ok {
+	for _, o := range a.Previous {
+		if x, ok := r.members.own[o.Name]; ok && x.Incarnation == o.Incarnation {
 			r.takeForeign(s, x)
 		}
 	}
 	r.note("server_taken", "", s.Name, "table", "usable_in="+max(0, s.usable.Sub(r.now)).String())
 }
 
-// takeoverWait is how long a server is left alone. An earlier owner may go on
-// dispatching until its lease is over, and a predecessor of this process may
-// have left work there, which ends by its deadline.
+// takeoverWait is how long a server is left alone for the sake of its earlier
+// owners.
 func (r *Reducer) takeoverWait(a model.Assignment) time.Duration {
+	wait := time.Duration(0)
+	for _, o := range a.Previous {
+		wait = max(wait, r.waitFor(o, a))
+	}
+	return wait
+}
+
+// waitFor is the wait for one earlier owner. One that runs may go on dispatching
+// until it acknowledges the table or its lease is over. One that is gone may
+// have left work at the server, which ends by its deadline.
+func (r *Reducer) waitFor(o model.Owner, a model.Assignment) time.Duration {
 	longest := r.longestDeadline(a.Service)
-	if r.unacknowledged(a) {
-		return max(takeoverDelay, longest)
+	if o.Name == r.Self.Name {
+		if o.Incarnation == r.Self.Incarnation {
+			return 0
+		}
+		return longest
 	}
-	if slices.Contains(a.Previous, r.Self.Name) {
+	x, ok := r.members.own[o.Name]
+	switch {
+	case !ok:
+		return max(takeoverDelay, longest)
+	case x.Incarnation != o.Incarnation:
 		return longest
+	case x.revision < a.Revision:
+		return max(takeoverDelay, longest)
 	}
 	return 0
 }
@@ -190,25 +205,11 @@
 	}
 }
 
-// unacknowledged reports whether an earlier owner may still use a server.
-func (r *Reducer) unacknowledged(a model.Assignment) bool {
-	for _, name := range a.Previous {
-		if name == r.Self.Name {
-			continue
-		}
-		x, ok := r.members.own[name]
-		if !ok || x.revision < a.Revision {
-			return true
-		}
-	}
-	return false
-}
-
 // acknowledge uses an instance's digest: it has applied a table, and it says
 // how many of its requests are still in flight at servers given up.
 func (r *Reducer) acknowledge(x *member) {
 	for _, s := range r.servers {
-		if !s.owned || !slices.Contains(s.Previous, x.Name) {
+		if !s.owned || !slices.Contains(s.Previous, model.Owner{Name: x.Name, Incarnation: x.Incarnation}) {
 			continue
 		}
 		r.takeForeign(s, x)
@@ -279,15 +280,14 @@
 // plan writes a new table if this instance is the one to do it and what is
 // known asks for a change.
 func (r *Reducer) plan() {
-	settled := r.now.Sub(r.started) >= settleTime && !r.leaser.Recovering(r.now, suspectAfter)
+	settled := r.now.Sub(r.started) >= settleTime && !r.leaser.Recovering(r.now, r.members.suspectAfter())
 	if !settled || !r.table.read || r.leaser.Away() || !r.scribe() {
 		return
 	}
 	if !r.table.writing.IsZero() && r.now.Sub(r.table.writing) < tableWriteLimit {
 		return
 	}
-	members, acknowledged := r.candidates()
-	next, changed := r.assigner.Plan(r.table.table, members, r.listedServers(), acknowledged, r.now)
+	next, changed := r.assigner.Plan(r.table.table, r.candidates(), r.listedServers(), r.now)
 	if !changed {
 		return
 	}
@@ -297,16 +297,14 @@
 
 // candidates returns who may own servers: the live instances that stay, or,
 // where all leave, those.
-func (r *Reducer) candidates() ([]model.Instance, map[string]int64) {
-	acknowledged := map[string]int64{r.Self.Name: r.table.table.Revision}
+func (r *Reducer) candidates() []model.Instance {
 	var staying, leaving []model.Instance
 	if r.stopping.active {
 		leaving = append(leaving, r.Self)
 	} else {
 		staying = append(staying, r.Self)
 	}
-	for _, x := range r.members.live(r.now) {
-		acknowledged[x.Name] = x.revision
+	for x := range r.members.in(r.now, r.Self.Domain) {
 		switch {
 		case x.leaving:
 			leaving = append(leaving, x.Instance)
@@ -315,9 +313,9 @@
 		}
 	}
 	if len(staying) == 0 {
-		return leaving, acknowledged
+		return leaving
 	}
-	return staying, acknowledged
+	return staying
 }
 
 func (r *Reducer) listedServers() []model.Server {
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -53,6 +53,9 @@
 	records []model.Record
 	// recording keeps records about single requests too.
 	recording bool
+	// traffic counts gossip if set; reducing is the time spent in reducers.
+	traffic  *traffic
+	reducing time.Duration
 	// occupied is the slot time used so far.
 	occupied time.Duration
 	results  []outcome
@@ -361,7 +364,9 @@
 		}
 		return
 	}
+	start := time.Now()
 	effects := slices.Clone(n.reducer.Reduce(w.now, e))
+	w.reducing += time.Since(start)
 	for _, x := range effects {
 		w.execute(n, x)
 	}
@@ -515,9 +520,14 @@
 
 func (w *world) gossip(n *node, x message.SendGossip) {
 	started := w.now
+	w.traffic.add(n.Name, x.Gossip)
 	w.ask(n, x.Peer, func(p *node) message.Event {
-		for _, reply := range slices.Clone(p.reducer.Reduce(w.now, message.Gossiped{Gossip: x.Gossip})) {
+		start := time.Now()
+		effects := slices.Clone(p.reducer.Reduce(w.now, message.Gossiped{Gossip: x.Gossip}))
+		w.reducing += time.Since(start)
+		for _, reply := range effects {
 			if r, ok := reply.(message.ReplyGossip); ok {
+				w.traffic.add(p.Name, r.Gossip)
 				return message.GossipAnswered{Peer: x.Peer, Gossip: r.Gossip, Started: started}
 			}
 			w.execute(p, reply)
