--- a/internal/answerer/work.go
+++ b/internal/answerer/work.go
@@ -72,7 +72,7 @@
 	if deadline > 0 {
 		request.Deadline = a.Clock.Now().Add(deadline)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.MaxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.bodyLimit(request.Kind)))
 	if err != nil {
 		writeProblem(w, bodyProblem(err))
 		return
@@ -86,6 +86,16 @@
 	writeResult(w, request.ID, result, answer, peer)
 }
 
+// bodyLimit is the kind's own limit, so that no more is held in memory.
+func (a *Answerer) bodyLimit(kind string) int64 {
+	limit := int64(0)
+	a.Engine.View(func(x *reducer.Reducer) { limit = x.BodyLimit(kind) })
+	if limit == 0 {
+		return a.MaxBodyBytes // The reducer will refuse the kind.
+	}
+	return min(limit, a.MaxBodyBytes)
+}
+
 var errDeadline = errors.New("answerer: " + model.HeaderDeadlineMS + " must be a positive number of milliseconds")
 
 func readDeadline(r *http.Request) (time.Duration, error) {
--- /dev/null
+++ b/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,144 @@
+package dispatcher_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yuccathread/yuccathread/internal/clock"
+	"github.com/yuccathread/yuccathread/internal/dispatcher"
+	"github.com/yuccathread/yuccathread/internal/message"
+	"github.com/yuccathread/yuccathread/internal/model"
+)
+
+// exchange sends one request to a handler.
+func exchange(t *testing.T, handler http.HandlerFunc) (message.Answered, *model.Answer) {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return run(t.Context(), strings.TrimPrefix(server.URL, "http://"), time.Now())
+}
+
+func run(ctx context.Context, address string, decided time.Time) (message.Answered, *model.Answer) {
+	d := dispatcher.Dispatcher{Clock: clock.System(), MaxAnswerBytes: 1000, Connections: 4}
+	defer d.Close()
+	return d.Run(ctx, message.Dispatch{
+		ID: "r1", Key: "k", Server: model.Server{Address: address},
+		Decided: decided, Deadline: time.Now().Add(200 * time.Millisecond),
+	}, model.Job{Body: []byte("work")})
+}
+
+// silent reads the request, so that the end of the connection is noticed, and
+// never answers.
+func silent(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+func TestOutcomes(t *testing.T) {
+	cases := map[string]struct {
+		handler http.HandlerFunc
+		want    string
+	}{
+		"whole": {func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") }, "ran ok"},
+		"cut short": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "50")
+			fmt.Fprint(w, "done")
+		}, "unknown upstream_failed"},
+		"too large": {func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, strings.Repeat("x", 1001)) }, "unknown upstream_failed"},
+		"closed":    {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, "unknown upstream_failed"},
+		"silent":    {silent, "unknown deadline_exceeded"},
+		"refused": {func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(model.HeaderOutcome, "not_run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}, "not_run upstream_refused"},
+		"unavailable, unsaid": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, "ran ok"},
+		"another's":           {func(w http.ResponseWriter, _ *http.Request) { w.Header().Set(model.HeaderRequestID, "r2") }, "unknown upstream_failed"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			answered, answer := exchange(t, c.handler)
+			assert.Equal(t, string(answered.Result.Outcome)+" "+string(answered.Result.Code), c.want)
+			assert.Equal(t, answer != nil, answered.Result.Outcome == model.Ran)
+		})
+	}
+}
+
+func TestNoConnectionIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	answered, _ := run(t.Context(), address, time.Now())
+	assert.Equal(t, answered.Result.Outcome, model.NotRun)
+}
+
+func TestOldDecisionIsNotActedOn(t *testing.T) {
+	var arrived atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived.Add(1) }))
+	defer server.Close()
+	answered, _ := run(t.Context(), strings.TrimPrefix(server.URL, "http://"), time.Now().Add(-time.Second))
+	assert.Equal(t, answered.Result.Outcome, model.NotRun)
+	assert.Equal(t, arrived.Load(), int32(0))
+}
+
+// TestClientNeverRepeats closes kept connections under requests with an
+// idempotency key, which HTTP clients like to send again.
+func TestClientNeverRepeats(t *testing.T) {
+	var arrived atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if arrived.Add(1)%2 == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, "done")
+	}))
+	defer server.Close()
+	d := dispatcher.Dispatcher{Clock: clock.System(), MaxAnswerBytes: 1000, Connections: 1}
+	defer d.Close()
+	for i := range 50 {
+		d.Run(t.Context(), message.Dispatch{
+			ID: fmt.Sprint(i), Key: "k", Server: model.Server{Address: strings.TrimPrefix(server.URL, "http://")},
+			Decided: time.Now(), Deadline: time.Now().Add(time.Second),
+		}, model.Job{})
+	}
+	assert.Equal(t, arrived.Load(), int32(50))
+}
+
+func TestForwardNeedsAWholeResult(t *testing.T) {
+	for name, c := range map[string]struct {
+		result any
+		body   string
+		want   model.Outcome
+	}{
+		"whole":     {model.Result{Outcome: model.Ran, Code: model.CodeOK, AnswerBytes: 4}, "done", model.Ran},
+		"short":     {model.Result{Outcome: model.Ran, Code: model.CodeOK, AnswerBytes: 9}, "done", model.Unknown},
+		"nonsense":  {"nonsense", "done", model.Unknown},
+		"not run":   {model.Result{Outcome: model.NotRun, Code: model.CodeOverloaded}, "", model.NotRun},
+		"no result": {nil, "done", model.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				data, _ := json.Marshal(c.result)
+				w.Header().Set(model.HeaderPeerResult, string(data))
+				fmt.Fprint(w, c.body)
+			}))
+			defer server.Close()
+			d := dispatcher.Dispatcher{Clock: clock.System(), MaxAnswerBytes: 1000, Connections: 1}
+			defer d.Close()
+			answered, _ := d.Forward(t.Context(), message.Forward{
+				Peer:    model.Instance{PeerAddress: strings.TrimPrefix(server.URL, "http://")},
+				Decided: time.Now(), Deadline: time.Now().Add(time.Second),
+			}, model.Job{})
+			assert.Equal(t, answered.Result.Outcome, c.want)
+		})
+	}
+}
--- a/internal/reducer/admission.go
+++ b/internal/reducer/admission.go
@@ -153,6 +153,18 @@
 	}
 }
 
+// BodyLimit returns the largest body of a kind in bytes, 0 for unknown kinds.
+func (r *Reducer) BodyLimit(kind string) int64 {
+	if r.policy == nil {
+		return 0
+	}
+	k, ok := r.policy.kinds[kind]
+	if !ok {
+		return 0
+	}
+	return k.MaxBodyBytes
+}
+
 func (r *Reducer) duration(kind string) *estimator.Estimator {
 	d, ok := r.durations[kind]
 	if !ok {
