Keep every second of a link within its limit

Cause: no test held link bytes against their limits, and a burst of 250 ms on top of the full rate let a second pass 25% more.

Change: the steady rate is 0.9 of an instance's share and the burst 100 ms of it, or the largest message.

--- a/internal/linker/linker.go
+++ b/internal/linker/linker.go
@@ -8,7 +8,7 @@
 //
 // Usage:
 //
-//	l := linker.Linker{Burst: 100 * time.Millisecond}
+//	l := linker.Linker{Largest: 1 << 16}
 //	l.Limit(now, "wallonia", bytesPerSecond/instances)
 //	if l.Reserve(now, "wallonia", size) { ... }
 //	l.Settle(now, "wallonia", reserved, sent)
@@ -20,10 +20,18 @@
 	"golang.org/x/time/rate"
 )
 
+const (
+	// burst is the time's worth of a share that may pass at once, and headroom
+	// the part of the share that passes steadily. Together they keep every
+	// second within the limit.
+	burst    = 100 * time.Millisecond
+	headroom = 0.9
+)
+
 // Linker holds one limiter per receiving region.
 type Linker struct {
-	// Burst is the time's worth of bytes that may pass at once.
-	Burst time.Duration
+	// Largest is the size of the largest message, which must fit into a burst.
+	Largest int64
 
 	limiters map[string]*rate.Limiter
 }
@@ -33,17 +41,18 @@
 	if l.limiters == nil {
 		l.limiters = make(map[string]*rate.Limiter)
 	}
-	burst := max(1, int(bytesPerSecond*l.Burst.Seconds()))
+	steady := rate.Limit(bytesPerSecond * headroom)
+	size := int(max(bytesPerSecond*burst.Seconds(), float64(l.Largest)))
 	limiter, ok := l.limiters[region]
 	if !ok {
-		l.limiters[region] = rate.NewLimiter(rate.Limit(bytesPerSecond), burst)
+		l.limiters[region] = rate.NewLimiter(steady, size)
 		return
 	}
-	if float64(limiter.Limit()) == bytesPerSecond {
+	if limiter.Limit() == steady && limiter.Burst() == size {
 		return
 	}
-	limiter.SetLimitAt(now, rate.Limit(bytesPerSecond))
-	limiter.SetBurstAt(now, burst)
+	limiter.SetLimitAt(now, steady)
+	limiter.SetBurstAt(now, size)
 }
 
 // Reserve takes bytes on the link and returns false where they do not fit.
--- a/internal/reducer/policy.go
+++ b/internal/reducer/policy.go
@@ -24,6 +24,8 @@
 	locator  locator.Locator
 	located  []string
 	orders   map[orderKey][]string
+	// largest is the size of the largest message between instances in bytes.
+	largest int64
 }
 
 type kindPolicy struct {
@@ -59,6 +61,7 @@
 	}
 	for _, x := range c.Kinds {
 		p.kinds[x.Name] = &kindPolicy{Kind: x, rank: ranks[x.Rank]}
+		p.largest = max(p.largest, x.MaxBodyBytes+envelopeBytes, x.AnswerBytes+envelopeBytes)
 	}
 	for _, x := range c.Services {
 		p.services[x.Name] = x
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -37,12 +37,8 @@
 	"github.com/yuccathread/yuccathread/internal/ticketer"
 )
 
-const (
-	// keeperLimit bounds the once-only records in memory.
-	keeperLimit = 200_000
-	// linkBurst is the time's worth of a link's limit that may pass at once.
-	linkBurst = 250 * time.Millisecond
-)
+// keeperLimit bounds the once-only records in memory.
+const keeperLimit = 200_000
 
 // Reducer is the state of one entry instance. Set the exported fields before
 // the first event.
@@ -115,7 +111,6 @@
 	r.retries = make(map[string]*budgeter.Budgeter)
 	r.unsettled = make(map[string]model.Claim)
 	r.retained = make(map[string]bool)
-	r.linker = linker.Linker{Burst: linkBurst}
 	r.keeper = keeper.Keeper{Limit: keeperLimit}
 	r.ticketer = ticketer.Ticketer{Instance: r.Self.Name, Incarnation: r.Self.Incarnation}
 	r.leaser = leaser.Leaser{Length: leaseLength, Pause: pauseLimit, Probation: takeoverDelay}
--- a/internal/reducer/schedule.go
+++ b/internal/reducer/schedule.go
@@ -109,6 +109,7 @@
 // limitLinks sets this instance's shares of the links out of its region.
 func (r *Reducer) limitLinks() {
 	instances := r.regionInstances()
+	r.linker.Largest = r.policy.largest
 	for key, bytesPerSecond := range r.policy.links {
 		if key.from == r.Self.Region {
 			r.linker.Limit(r.now, key.to, bytesPerSecond/float64(instances))
--- a/internal/session/failure_test.go
+++ b/internal/session/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -376,3 +377,39 @@
 		assert.Assert(t, r.result.Outcome != model.NotRun, "%+v", r)
 	}
 }
+
+// TestLinkLimits sends far more between regions than their links take: by
+// requests and by answers, at ten instances that decide at once.
+func TestLinkLimits(t *testing.T) {
+	for name, size := range map[string][2]int64{"requests": {30_000, 100}, "answers": {100, 30_000}} {
+		t.Run(name, func(t *testing.T) {
+			const limit = 8_000_000
+			w := load(t, 12, "verhaegen")
+			w.bodyBytes, w.answerBytes = size[0], size[1]
+			var operations []string
+			for i := range 6 {
+				operations = append(operations, fmt.Sprintf(`{"op":"replace","path":"/links/%d/bytes_per_second","value":%d}`, i, limit))
+			}
+			operations = append(operations, `{"op":"replace","path":"/shift/cap","value":1}`)
+			assert.NilError(t, w.patch(1, "links", []byte("["+strings.Join(operations, ",")+"]")))
+			w.run(settled)
+			for _, u := range w.servers {
+				if w.regions[u.Domain] == "flanders" {
+					u.drains = true
+				}
+			}
+			w.stream("stock", 3000, 10*time.Second, "gent-a-1", "gent-a-2", "gent-b-1", "gent-b-2")
+			w.run(12 * time.Second)
+			w.checkTruth()
+			most := int64(0)
+			for pair, seconds := range w.crossed {
+				for _, bytes := range seconds {
+					most = max(most, bytes)
+					assert.Check(t, bytes <= limit, "%v: %d bytes in a second", pair, bytes)
+				}
+			}
+			t.Logf("most bytes in a second: %.3f of the limit", float64(most)/limit)
+			assert.Assert(t, most > limit/2, "the links were in use")
+		})
+	}
+}
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -53,9 +53,13 @@
 	records []model.Record
 	// recording keeps records about single requests too.
 	recording bool
+	// crossed holds the bytes sent between regions by second.
+	crossed map[[2]string]map[int64]int64
 	// traffic counts gossip if set; reducing is the time spent in reducers.
 	traffic  *traffic
 	reducing time.Duration
+	// bodyBytes and answerBytes are the sizes of requests and answers.
+	bodyBytes, answerBytes int64
 	// occupied is the slot time used so far.
 	occupied time.Duration
 	results  []outcome
@@ -199,6 +203,7 @@
 		store:   storeFake{values: make(map[string]model.StoreValue), away: make(map[string]bool), delay: nearDelay},
 		listing: make(map[string]model.Listing), peers: make(map[string]origin),
 		ran: make(map[string]int), ranKey: make(map[string]int), index: make(map[string]int), ranLast: make(map[string]time.Time),
+		crossed: make(map[[2]string]map[int64]int64), bodyBytes: 100,
 		places: make(map[string]string), denied: make(map[string]time.Time),
 	}
 }
@@ -596,7 +601,7 @@
 			w.ranKey[x.Key]++
 			w.ranLast[x.Key] = w.now
 		}
-		a.Result = model.Result{Outcome: model.Ran, Code: model.CodeOK, Status: 200, Server: u.Name}
+		a.Result = model.Result{Outcome: model.Ran, Code: model.CodeOK, Status: 200, Server: u.Name, AnswerBytes: w.answerBytes}
 		if u.fail {
 			a.Result.Status = 500
 		}
@@ -617,7 +622,20 @@
 	return id
 }
 
+// cross counts bytes between two regions.
+func (w *world) cross(from, to string, bytes int64) {
+	pair := [2]string{w.regions[from], w.regions[to]}
+	if pair[0] == pair[1] {
+		return
+	}
+	if w.crossed[pair] == nil {
+		w.crossed[pair] = make(map[int64]int64)
+	}
+	w.crossed[pair][w.now.Unix()] += bytes
+}
+
 func (w *world) forward(n *node, x message.Forward) {
+	w.cross(n.Domain, x.Peer.Domain, x.Request.BodyBytes)
 	d := w.delay(n.Domain, x.Peer.Domain)
 	failed := message.PeerAnswered{ID: x.ID, Attempt: x.Attempt}
 	w.after(d, func() {
@@ -644,6 +662,7 @@
 	}
 	if o, ok := w.peers[n.Incarnation+x.ID]; ok {
 		delete(w.peers, n.Incarnation+x.ID)
+		w.cross(n.Domain, o.node.Domain, x.Result.AnswerBytes)
 		if !w.reachable(n.Domain, o.node.Domain) {
 			return
 		}
@@ -676,7 +695,7 @@
 	w.index[id] = len(w.results)
 	w.results = append(w.results, outcome{id: id, kind: kind, key: key, home: home, due: w.now})
 	n := w.nodes[name]
-	request := model.Request{ID: id, Kind: kind, Key: key, Home: home, Digest: 7, BodyBytes: 100}
+	request := model.Request{ID: id, Kind: kind, Key: key, Home: home, Digest: 7, BodyBytes: w.bodyBytes}
 	w.after(clientDelay, func() { w.deliver(n, message.Arrived{Request: request}) })
 	return id
 }
