Count reported work beside the own after a takeover; bound all bodies

After a takeover without acknowledgement the server's reported load was compared with the own requests instead of being added to what others had there: with 8 of 9 slots reported busy 5 requests were dispatched. claims_per_second of 0 still allowed one claim.

The process tests import the programs' packages, since a cached pass had hidden a failure.

--- a/internal/answerer/answerer.go
+++ b/internal/answerer/answerer.go
@@ -21,6 +21,7 @@
 	"strings"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/yuccathread/yuccathread/internal/api"
 	"github.com/yuccathread/yuccathread/internal/clock"
@@ -44,6 +45,8 @@
 	Self     model.Instance
 	// MaxBodyBytes bounds request bodies before their kind is known.
 	MaxBodyBytes int64
+	// Bodies bounds the bytes of all request bodies under way.
+	Bodies *semaphore.Weighted
 }
 
 // Public returns the handler of the address for callers and operators.
@@ -317,7 +320,10 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(model.HeaderOutcome, string(p.Response.Outcome))
+	h.Set(model.HeaderCode, p.Response.Code)
 	w.WriteHeader(p.StatusCode)
 	_, _ = w.Write(data)
 }
--- a/internal/answerer/work.go
+++ b/internal/answerer/work.go
@@ -72,7 +72,20 @@
 	if deadline > 0 {
 		request.Deadline = a.Clock.Now().Add(deadline)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.bodyLimit(request.Kind)))
+	limit := a.bodyLimit(request.Kind)
+	if r.ContentLength > limit {
+		writeProblem(w, problem(http.StatusRequestEntityTooLarge, string(model.CodeBodyTooLarge), model.NotRun, "see the kind's max_body_bytes"))
+		return
+	}
+	if r.ContentLength >= 0 {
+		limit = r.ContentLength
+	}
+	if !a.Bodies.TryAcquire(limit) {
+		a.refuseBody(w, request)
+		return
+	}
+	defer a.Bodies.Release(limit)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
 		writeProblem(w, bodyProblem(err))
 		return
@@ -86,6 +99,16 @@
 	writeResult(w, request.ID, result, answer, peer)
 }
 
+// refuseBody ends a request whose body finds no room in memory. An earlier
+// request with the same key may have run.
+func (a *Answerer) refuseBody(w http.ResponseWriter, request model.Request) {
+	result := model.Result{Outcome: model.NotRun, Code: model.CodeOverloaded, Detail: "too many request bodies", RetryAfter: time.Second}
+	if request.Key != "" {
+		result.Outcome = model.Unknown
+	}
+	writeResult(w, request.ID, result, nil, request.Hops > 0 || request.Bound)
+}
+
 // bodyLimit is the kind's own limit, so that no more is held in memory.
 func (a *Answerer) bodyLimit(kind string) int64 {
 	limit := int64(0)
@@ -122,8 +145,6 @@
 func writeResult(w http.ResponseWriter, id string, result model.Result, answer *model.Answer, peer bool) {
 	h := w.Header()
 	h.Set(model.HeaderRequestID, id)
-	h.Set(model.HeaderOutcome, string(result.Outcome))
-	h.Set(model.HeaderCode, string(result.Code))
 	if peer {
 		data, err := json.Marshal(result)
 		if err == nil {
@@ -139,6 +160,8 @@
 		writeProblem(w, p)
 		return
 	}
+	h.Set(model.HeaderOutcome, string(result.Outcome))
+	h.Set(model.HeaderCode, string(result.Code))
 	h.Set(model.HeaderServer, result.Server)
 	if answer.ContentType != "" {
 		h.Set("Content-Type", answer.ContentType)
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -18,6 +18,9 @@
 
 	"gotest.tools/v3/assert"
 
+	// The programs' packages, so that the test cache knows what is tested.
+	_ "github.com/yuccathread/yuccathread/internal/cli"
+	_ "github.com/yuccathread/yuccathread/internal/ctl"
 	"github.com/yuccathread/yuccathread/internal/model"
 )
 
--- a/internal/reducer/completion.go
+++ b/internal/reducer/completion.go
@@ -158,7 +158,11 @@
 	if result.Outcome == model.Ran {
 		r.note("answered", w.request.ID, subject, string(result.Outcome), "")
 	} else {
-		r.note("refused", w.request.ID, subject, string(result.Code), string(result.Outcome))
+		inputs := string(result.Outcome)
+		if result.Detail != "" {
+			inputs += " " + result.Detail
+		}
+		r.note("refused", w.request.ID, subject, string(result.Code), inputs)
 	}
 	r.emit(message.Reply{ID: w.request.ID, Result: result, Body: body})
 }
--- a/internal/reducer/once.go
+++ b/internal/reducer/once.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -189,7 +190,7 @@
 func (r *Reducer) mayClaim() bool {
 	limit := rate.Limit(r.policy.OnceOnly.ClaimsPerSecond)
 	if r.claims == nil || r.claims.Limit() != limit {
-		r.claims = rate.NewLimiter(limit, max(1, int(limit)))
+		r.claims = rate.NewLimiter(limit, int(math.Ceil(float64(limit))))
 	}
 	return r.claims.AllowN(r.now, 1)
 }
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -39,7 +39,17 @@
 	if reason == model.CodeShiftCap {
 		r.shifter(w).Want(w.kind.rank)
 	}
-	r.refuse(w, reason, "")
+	r.refuse(w, reason, r.explain(w))
+}
+
+// explain gives the figures behind a refusal.
+func (r *Reducer) explain(w *work) string {
+	p := r.pool(w.kind.Service)
+	allowed, busy := r.capacity(p)
+	s := r.shifter(w)
+	return "slots=" + strconv.Itoa(allowed) + " busy=" + strconv.Itoa(busy) +
+		" queued=" + strconv.Itoa(p.queue.Len()) + " home=" + w.request.Home +
+		" home_share=" + strconv.FormatFloat(s.Base()[w.request.Home], 'f', 2, 64)
 }
 
 // placeHere admits work that another instance handed on. Only own servers
@@ -55,7 +65,7 @@
 		return
 	}
 	if !r.runHere(w, p) && !r.enqueue(w, p) {
-		r.refuse(w, model.CodeOverloaded, "")
+		r.refuse(w, model.CodeOverloaded, r.explain(w))
 	}
 }
 
--- a/internal/reducer/pool.go
+++ b/internal/reducer/pool.go
@@ -63,8 +63,9 @@
 	reported bool
 	answered time.Time
 
-	reportedBusy int
-	reportedAt   time.Time
+	// reportedForeign is what the server reported beyond the own requests.
+	reportedForeign int
+	reportedAt      time.Time
 }
 
 // allowed returns the number of slots that may be in use now.
@@ -100,14 +101,14 @@
 
 // busy returns the slots known to be in use, by whomever.
 func (s *server) busy(now time.Time) int {
-	busy := s.inFlight
+	foreign := 0
 	for _, n := range s.foreign {
-		busy += n
+		foreign += n
 	}
 	if now.Before(s.cautious) && now.Sub(s.reportedAt) < loadFresh {
-		busy = max(busy, s.reportedBusy)
+		foreign = max(foreign, s.reportedForeign)
 	}
-	return busy
+	return s.inFlight + foreign
 }
 
 func (r *Reducer) pool(service string) *pool {
@@ -272,7 +273,7 @@
 	if !ok {
 		return
 	}
-	s.reportedBusy = e.Busy
+	s.reportedForeign = max(0, e.Busy-s.inFlight)
 	s.reportedAt = r.now
 	if e.Draining == s.reported {
 		return
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/yuccathread/yuccathread/internal/answerer"
 	"github.com/yuccathread/yuccathread/internal/clock"
@@ -46,6 +47,8 @@
 	maxHeaderBytes    = 32 << 10
 	// maxBodyBytes bounds request bodies of any kind.
 	maxBodyBytes = 8 << 20
+	// bodiesLimit bounds the bytes of all request bodies under way.
+	bodiesLimit = 48 << 20
 	// connections bounds the connections to one server; see docs/design.
 	connections = 330
 	// patchRetryDelay is the time between two tries to learn of a patch's fate.
@@ -143,6 +146,7 @@
 		Clock:        r.Clock,
 		Self:         self,
 		MaxBodyBytes: maxBodyBytes,
+		Bodies:       semaphore.NewWeighted(bodiesLimit),
 	}
 	public, err := a.Public()
 	if err != nil {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -22,7 +22,7 @@
 
 func TestEveryFaultHasItsPlace(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "bad.jsonc")
-	text := "{\n  // A comment.\n  \"instance\": \"Gent A\",\n  \"addres\": \"x\",\n  \"stop_limit\": 30,\n" +
+	text := "{\n  // A comment.\n  \"instance\": \"Gent A\",\n  \"place\": \"x\",\n  \"stop_limit\": 30,\n" +
 		"  \"peer_address\": \"localhost:1\",\n}"
 	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
 	l := settings.Loader{File: file}
@@ -33,7 +33,7 @@
 	for _, f := range invalid.Findings {
 		places[f.Field] = [2]int{f.Line, f.Column}
 	}
-	assert.DeepEqual(t, places, map[string][2]int{"/addres": {4, 3}, "/stop_limit": {5, 17}})
+	assert.DeepEqual(t, places, map[string][2]int{"/place": {4, 3}, "/stop_limit": {5, 17}})
 }
 
 func TestValuesAreChecked(t *testing.T) {
