Keep work in the regions of its kind; count who shares a link

Cause: reading the code as a newcomer. (1) Work that may run in its home's region only could wait, and run, at an instance of another region when that looked faster. (2) The shares of a link counted the instances that summaries name, at most four a domain, and whoever the list had named once. (3) Silent instances of the own failure domain were remembered for good.

Change: waiting here instead of there asks whether here is allowed, and not drained; summaries carry the number of their instances; the long silent are forgotten after ten minutes.

Figures: TestRegionsOfAKind fails without (1).

Conclusion: (1) was a breach of policy that no flood test could see.

--- a/internal/model/gossip.go
+++ b/internal/model/gossip.go
@@ -56,6 +56,8 @@
 	// them. They are the instances that take work from elsewhere.
 	Roster     uint64
 	Identities []Instance
+	// Instances is the number of the domain's live instances, named or not.
+	Instances int
 	// States belong to Identities, in their order.
 	States []MemberState
 	// OldestVersion is the lowest configuration version in force in the domain.
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -166,6 +166,11 @@
 	m.sorted = sorted(m.own)
 }
 
+func (m *membership) remove(name string) {
+	delete(m.own, name)
+	m.sorted = sorted(m.own)
+}
+
 func sorted(members map[string]*member) []*member {
 	return slices.SortedFunc(maps.Values(members), func(a, b *member) int {
 		return cmp.Compare(a.Name, b.Name)
--- a/internal/reducer/placement.go
+++ b/internal/reducer/placement.go
@@ -3,25 +3,17 @@
 import (
 	"slices"
 	"strconv"
-	"time"
 
-	"github.com/yuccathread/yuccathread/internal/message"
 	"github.com/yuccathread/yuccathread/internal/model"
-	"github.com/yuccathread/yuccathread/internal/shifter"
 )
 
 const (
-	// envelopeBytes is added to a body for its headers.
-	envelopeBytes = 512
 	// spillFactor is how many round trips of waiting here are better than
 	// going to another region.
 	spillFactor = 1
 	// queueFactor is how many times longer work must wait here than elsewhere
 	// before it is handed on to wait there.
 	queueFactor = 2
-	// idlePeriods is the number of shift periods after which a flow without
-	// requests is forgotten.
-	idlePeriods = 2
 )
 
 // place decides where work runs: at once on an own server, at another
@@ -76,7 +68,7 @@
 	p := r.pool(w.kind.Service)
 	order := r.policy.order(w.kind, w.request.Home)
 	for _, domain := range order {
-		code := r.tryDomain(w, p, domain)
+		code := r.tryDomain(w, p, order, domain)
 		if code == "" {
 			return ""
 		}
@@ -126,7 +118,7 @@
 	return a
 }
 
-func (r *Reducer) tryDomain(w *work, p *pool, domain string) model.Code {
+func (r *Reducer) tryDomain(w *work, p *pool, order []string, domain string) model.Code {
 	if domain == r.Self.Domain {
 		return r.tryOwnDomain(w, p)
 	}
@@ -134,7 +126,7 @@
 	if m == nil {
 		return r.emptyReason(w.kind.Service, domain)
 	}
-	if r.betterHere(w, p, m) {
+	if slices.Contains(order, r.Self.Domain) && r.betterHere(w, p, m) {
 		return ""
 	}
 	return r.tryMember(w, m, "free slots there")
@@ -167,7 +159,7 @@
 // betterHere lets work wait here where that costs less than another region's
 // round trip.
 func (r *Reducer) betterHere(w *work, p *pool, m *member) bool {
-	if m.Region == r.Self.Region {
+	if m.Region == r.Self.Region || r.policy.drained[r.Self.Domain] {
 		return false
 	}
 	wait, ok := r.expectedWait(w, p)
@@ -215,129 +207,3 @@
 	r.pump(p)
 	return true
 }
-
-func (r *Reducer) dispatch(w *work, s *server, reason string) {
-	w.state = dispatched
-	w.attempt++
-	w.server = s
-	w.started = r.now
-	s.inFlight++
-	r.countTry(w)
-	r.note("dispatched", w.request.ID, s.Name, reason, r.placementInputs(s))
-	r.emit(message.Dispatch{
-		ID:       w.request.ID,
-		Attempt:  w.attempt,
-		Server:   s.Server,
-		Kind:     w.request.Kind,
-		Key:      w.request.Key,
-		Decided:  r.now,
-		Deadline: w.request.Deadline,
-	})
-}
-
-func (r *Reducer) placementInputs(s *server) string {
-	return "in_flight=" + strconv.Itoa(s.inFlight) + " slots=" + strconv.Itoa(s.slots)
-}
-
-func (r *Reducer) forward(w *work, m *member, reason string) {
-	w.state = forwarded
-	w.attempt++
-	w.peer = m
-	w.started = r.now
-	m.send(w.kind.Service)
-	r.countTry(w)
-	request := w.request
-	request.ID += "/" + strconv.Itoa(w.attempt)
-	request.Origin = r.Self.Name
-	request.OriginRegion = r.Self.Region
-	request.Bound = w.bound
-	if !w.bound {
-		request.Hops++
-	}
-	r.note("forwarded", w.request.ID, m.Name, reason, "")
-	r.emit(message.Forward{
-		ID:       w.request.ID,
-		Attempt:  w.attempt,
-		Peer:     m.Instance,
-		Request:  request,
-		Decided:  r.now,
-		Deadline: w.request.Deadline,
-	})
-}
-
-func (r *Reducer) countTry(w *work) {
-	if w.attempt == 1 {
-		r.budget(w.kind.Service).Deposit()
-	}
-}
-
-// reserveAnswer reserves the expected answer on the link back to the origin.
-func (r *Reducer) reserveAnswer(w *work) bool {
-	if w.request.OriginRegion == "" || w.request.OriginRegion == r.Self.Region {
-		return true
-	}
-	expected := w.kind.AnswerBytes + envelopeBytes
-	if !r.linker.Reserve(r.now, w.request.OriginRegion, expected) {
-		return false
-	}
-	w.linkReserved = expected
-	return true
-}
-
-// take charges the request to a failure domain, if the shift cap allows it.
-func (r *Reducer) take(w *work, domain string) bool {
-	if !r.shifter(w).Take(domain, w.kind.rank) {
-		return false
-	}
-	w.domain = domain
-	return true
-}
-
-func (r *Reducer) untake(w *work) {
-	if w.domain == "" {
-		return
-	}
-	r.shifter(w).Return(w.domain)
-	w.domain = ""
-}
-
-func (r *Reducer) shifter(w *work) *shifter.Shifter {
-	return r.flow(flow{service: w.kind.Service, home: w.request.Home})
-}
-
-// flow returns the shifter of a flow. A new one starts from where the rest of
-// the fleet reports that the traffic goes.
-func (r *Reducer) flow(f flow) *shifter.Shifter {
-	s, ok := r.shifters[f]
-	if !ok {
-		s = &shifter.Shifter{Home: f.home}
-		s.Adopt(r.members.shares(r.now, f))
-		r.shifters[f] = s
-	}
-	s.Cap = r.policy.Shift.Cap
-	s.Period = r.policy.Shift.Period.Duration
-	s.Minimum = r.policy.Shift.MinimumRequests
-	s.Advance(r.now)
-	return s
-}
-
-// forgetFlows drops flows without requests, so that one that comes back starts
-// from where the fleet sends it then.
-func (r *Reducer) forgetFlows() {
-	for f, s := range r.shifters {
-		if s.Idle(r.now) > idlePeriods*s.Period {
-			delete(r.shifters, f)
-		}
-	}
-}
-
-// retryAfter is when a refused caller may try again.
-func (r *Reducer) retryAfter(code model.Code) time.Duration {
-	switch code {
-	case model.CodeShiftCap:
-		return r.policy.Shift.Period.Duration
-	case model.CodeOverloaded, model.CodeLinkLimit, model.CodeNoUpstream, model.CodeClaimLimit:
-		return time.Second
-	}
-	return 0
-}
--- a/internal/reducer/schedule.go
+++ b/internal/reducer/schedule.go
@@ -17,6 +17,8 @@
 	forgetInterval = 10 * time.Second
 	// tickSlack lets an action run a tick early rather than a tick late.
 	tickSlack = 50 * time.Millisecond
+	// memberMemory is how long a silent instance is remembered.
+	memberMemory = 10 * time.Minute
 	// bootInterval is storeInterval for an instance without a configuration.
 	bootInterval = 250 * time.Millisecond
 )
@@ -53,6 +55,7 @@
 	}
 	if r.due(&s.forget, forgetInterval) {
 		r.forgetKeys()
+		r.forgetMembers()
 	}
 	r.limitLinks()
 	for _, p := range r.pools {
@@ -117,19 +120,29 @@
 	}
 }
 
-// regionInstances counts the instances that share the region's links: all
-// that are known, heard of lately or not, so that a cut does not free shares.
+// regionInstances counts the instances that share the region's links. Failure
+// domains count with what was last heard, however long ago, so that a cut does
+// not free the shares of those behind it.
 func (r *Reducer) regionInstances() int {
-	names := map[string]bool{r.Self.Name: true}
+	total := r.ownInstances()
 	for _, domain := range r.policy.domains[r.Self.Region] {
-		for _, x := range r.members.seeds[domain] {
-			names[x.Name] = true
+		if domain == r.Self.Domain {
+			continue
 		}
+		instances := len(r.members.seeds[domain])
 		if view, ok := r.members.domains[domain]; ok {
-			for name := range view.members {
-				names[name] = true
-			}
+			instances = max(instances, view.Instances)
 		}
+		total += instances
+	}
+	return total
+}
+
+// ownInstances counts all that are known in the own failure domain.
+func (r *Reducer) ownInstances() int {
+	names := map[string]bool{r.Self.Name: true}
+	for _, x := range r.members.seeds[r.Self.Domain] {
+		names[x.Name] = true
 	}
 	for name := range r.members.own {
 		names[name] = true
@@ -139,3 +152,12 @@
 	}
 	return len(names)
 }
+
+// forgetMembers drops instances of the own failure domain that are long gone.
+func (r *Reducer) forgetMembers() {
+	for name, x := range r.members.own {
+		if r.now.Sub(x.heard) > memberMemory {
+			r.members.remove(name)
+		}
+	}
+}
--- a/internal/session/failure_test.go
+++ b/internal/session/failure_test.go
@@ -413,3 +413,53 @@
 		})
 	}
 }
+
+// TestRegionsOfAKind sends work that may run in its home's region only to an
+// instance elsewhere, while its home is busy.
+func TestRegionsOfAKind(t *testing.T) {
+	w := load(t, 13, "verhaegen")
+	w.run(settled)
+	w.stream("catalogue", 5000, 3*time.Second, "gent-a-1", "gent-b-1")
+	w.streamFrom("gent-a", "catalogue", 500, 3*time.Second, "namur-a-1")
+	w.run(6 * time.Second)
+	w.checkTruth()
+	ran := 0
+	for _, r := range w.results {
+		if domain, ok := w.places[r.id]; ok && r.home == "gent-a" {
+			ran++
+			assert.Equal(t, w.regions[domain], "flanders", "%+v", r)
+		}
+	}
+	assert.Assert(t, ran > 100, "%d ran", ran)
+}
+
+// TestLinkLimitsOfManyInstances shares a link among more instances than
+// summaries name.
+func TestLinkLimitsOfManyInstances(t *testing.T) {
+	const limit = 8_000_000
+	w := fleetOf(t, 6, 8, 4)
+	w.bodyBytes = 30_000
+	assert.NilError(t, w.patch(1, "links", fmt.Appendf(nil, `[
+		{"op":"add","path":"/links/-","value":{"from":"region-0","to":"region-1","bytes_per_second":%d}},
+		{"op":"add","path":"/kinds/4/regions/-","value":"region-1"},
+		{"op":"replace","path":"/shift/cap","value":1}]`, limit)))
+	w.run(settled)
+	for _, u := range w.servers {
+		u.drains = w.regions[u.Domain] == "region-0"
+	}
+	var names []string
+	for _, name := range w.names() {
+		if w.nodes[name].Region == "region-0" {
+			names = append(names, name)
+		}
+	}
+	w.run(3 * time.Second)
+	w.stream("stock", 3000, 8*time.Second, names...)
+	w.run(10 * time.Second)
+	most := int64(0)
+	for _, bytes := range w.crossed[[2]string{"region-0", "region-1"}] {
+		most = max(most, bytes)
+	}
+	t.Logf("most bytes in a second: %.3f of the limit", float64(most)/limit)
+	assert.Assert(t, most <= limit && most > limit/4)
+}
