Run the same way each time: ports of our own, ordered loops

And a reducer went through its pools in the order of a map, so that sessions could differ between runs. Requests refused before the reducer saw them were told not_run although an earlier one with their key may have run.

Change: each test process has a loopback host of its own and counts its ports below those of connections; loops that emit effects are ordered; such refusals of keyed requests are told unknown.

--- a/internal/answerer/answerer.go
+++ b/internal/answerer/answerer.go
@@ -311,7 +311,7 @@
 
 // writeAPIError answers requests that the generated code cannot read.
 func writeAPIError(_ context.Context, w http.ResponseWriter, _ *http.Request, err error) {
-	writeProblem(w, problem(http.StatusBadRequest, "bad_request", model.NotRun, err.Error()))
+	writeProblem(w, problem(http.StatusBadRequest, string(model.CodeBadRequest), model.NotRun, err.Error()))
 }
 
 func writeProblem(w http.ResponseWriter, p *api.ProblemStatusCode) {
--- a/internal/answerer/work.go
+++ b/internal/answerer/work.go
@@ -33,7 +33,8 @@
 func (a *Answerer) work(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(model.HeaderRequestID)
 	if len(id) > maxIDBytes || len(r.Header.Get(model.HeaderKey)) > maxIDBytes {
-		writeProblem(w, problem(http.StatusBadRequest, "bad_request", model.NotRun, "id or key is too long"))
+		// No key of this length was ever taken.
+		writeProblem(w, problem(http.StatusBadRequest, string(model.CodeBadRequest), model.NotRun, "id or key is too long"))
 		return
 	}
 	// The random part keeps two requests apart that callers gave the same id.
@@ -52,7 +53,7 @@
 	var request model.Request
 	err := json.Unmarshal([]byte(r.Header.Get(model.HeaderPeerRequest)), &request)
 	if err != nil || request.ID == "" {
-		writeProblem(w, problem(http.StatusBadRequest, "bad_request", model.NotRun, "malformed peer request"))
+		writeProblem(w, problem(http.StatusBadRequest, string(model.CodeBadRequest), model.NotRun, "malformed peer request"))
 		return
 	}
 	if incarnation := r.Header.Get(model.HeaderInstance); request.Bound && incarnation != a.Self.Incarnation {
@@ -64,9 +65,12 @@
 
 // serve reads the body, gives the request to the engine and writes its end.
 func (a *Answerer) serve(w http.ResponseWriter, r *http.Request, request model.Request, peer bool) {
+	refuse := func(code model.Code, detail string) {
+		writeResult(w, request.ID, unread(request, code, detail), nil, peer)
+	}
 	deadline, err := readDeadline(r)
 	if err != nil {
-		writeProblem(w, problem(http.StatusBadRequest, "bad_request", model.NotRun, err.Error()))
+		refuse(model.CodeBadRequest, err.Error())
 		return
 	}
 	if deadline > 0 {
@@ -74,20 +78,20 @@
 	}
 	limit := a.bodyLimit(request.Kind)
 	if r.ContentLength > limit {
-		writeProblem(w, problem(http.StatusRequestEntityTooLarge, string(model.CodeBodyTooLarge), model.NotRun, "see the kind's max_body_bytes"))
+		refuse(model.CodeBodyTooLarge, "see the kind's max_body_bytes")
 		return
 	}
 	if r.ContentLength >= 0 {
 		limit = r.ContentLength
 	}
 	if !a.Bodies.TryAcquire(limit) {
-		a.refuseBody(w, request)
+		refuse(model.CodeOverloaded, "too many request bodies")
 		return
 	}
 	defer a.Bodies.Release(limit)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
-		writeProblem(w, bodyProblem(err))
+		refuse(bodyCode(err), err.Error())
 		return
 	}
 	request.BodyBytes = int64(len(body))
@@ -99,14 +103,21 @@
 	writeResult(w, request.ID, result, answer, peer)
 }
 
-// refuseBody ends a request whose body finds no room in memory. An earlier
-// request with the same key may have run.
-func (a *Answerer) refuseBody(w http.ResponseWriter, request model.Request) {
-	result := model.Result{Outcome: model.NotRun, Code: model.CodeOverloaded, Detail: "too many request bodies", RetryAfter: time.Second}
+// unread is the end of a request that the reducer never saw. An earlier one
+// with the same key may have run.
+func unread(request model.Request, code model.Code, detail string) model.Result {
+	result := model.Result{Outcome: model.NotRun, Code: code, Detail: detail}
 	if request.Key != "" {
 		result.Outcome = model.Unknown
 	}
-	writeResult(w, request.ID, result, nil, request.Hops > 0 || request.Bound)
+	return result
+}
+
+func bodyCode(err error) model.Code {
+	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
+		return model.CodeBodyTooLarge
+	}
+	return model.CodeBadRequest
 }
 
 // bodyLimit is the kind's own limit, so that no more is held in memory.
@@ -133,13 +144,6 @@
 	return time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond, nil
 }
 
-func bodyProblem(err error) *api.ProblemStatusCode {
-	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
-		return problem(http.StatusRequestEntityTooLarge, string(model.CodeBodyTooLarge), model.NotRun, err.Error())
-	}
-	return problem(http.StatusBadRequest, "bad_request", model.NotRun, err.Error())
-}
-
 // writeResult answers with the upstream's whole answer or with a problem.
 // Answers carry their length, so that one cut off on the way is seen to be.
 func writeResult(w http.ResponseWriter, id string, result model.Result, answer *model.Answer, peer bool) {
@@ -180,7 +184,7 @@
 		return http.StatusRequestEntityTooLarge
 	case model.CodeDeadline:
 		return http.StatusGatewayTimeout
-	case model.CodeKeyRequired:
+	case model.CodeKeyRequired, model.CodeBadRequest:
 		return http.StatusBadRequest
 	case model.CodeKeyReused:
 		return http.StatusUnprocessableEntity
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -71,11 +72,21 @@
 	done      chan error
 }
 
+// firstPort is below the ports that the system gives to connections.
+const firstPort = 20_000
+
+var lastPort atomic.Int32
+
+// freeAddress returns an address that no one else uses: the loopback host is
+// this test process's own, and each port is given once.
 func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	host := fmt.Sprintf("127.%d.%d.1", 1+pid/256%250, pid%256)
+	address := fmt.Sprintf("%s:%d", host, firstPort+lastPort.Add(1))
+	l, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	assert.NilError(t, l.Close())
+	return address
 }
 
 const configuration = `{
--- a/internal/e2e/promises_test.go
+++ b/internal/e2e/promises_test.go
@@ -251,5 +251,7 @@
 	}
 	assert.Equal(t, f.work("gent-a-1", "order", "reused", "a").code, "ok")
 	assert.Equal(t, f.work("namur-a-1", "order", "reused", "b").code, "key_reused")
+	late := f.work("gent-a-1", "order", "reused", strings.Repeat("x", 1_000_001))
+	assert.Equal(t, late.outcome+" "+late.code, "unknown body_too_large", "its key has run")
 	assert.Equal(t, f.work("gent-a-1", "stock", "", "still fine").code, "ok")
 }
--- a/internal/model/request.go
+++ b/internal/model/request.go
@@ -21,6 +21,7 @@
 // Codes of results.
 const (
 	CodeOK              Code = "ok"
+	CodeBadRequest      Code = "bad_request"
 	CodeUnknownKind     Code = "unknown_kind"
 	CodeBodyTooLarge    Code = "body_too_large"
 	CodeDeadline        Code = "deadline_exceeded"
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -270,7 +270,8 @@
 		}
 		addShares(totals, x.digest.Shares, f)
 	}
-	for _, view := range m.domains {
+	for _, domain := range slices.Sorted(maps.Keys(m.domains)) {
+		view := m.domains[domain]
 		if now.Sub(view.heard) <= remoteFresh {
 			addShares(totals, view.Shares, f)
 		}
--- a/internal/reducer/pool.go
+++ b/internal/reducer/pool.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -176,6 +177,14 @@
 	}
 }
 
+// pumpAll pumps every pool, in the order of their names, so that a session
+// runs the same way each time.
+func (r *Reducer) pumpAll() {
+	for _, name := range slices.Sorted(maps.Keys(r.pools)) {
+		r.pump(r.pools[name])
+	}
+}
+
 // tooLate reports whether work would probably miss its deadline if it started now.
 func (r *Reducer) tooLate(w *work) bool {
 	return w.request.Deadline.Sub(r.now) < r.duration(w.kind.Name).Bound()
@@ -298,7 +307,8 @@
 
 // markListed notes which servers the platform's list marks as leaving.
 func (r *Reducer) markListed(leaving []string) {
-	for _, s := range r.servers {
+	for _, name := range slices.Sorted(maps.Keys(r.servers)) {
+		s := r.servers[name]
 		listed := slices.Contains(leaving, s.Name)
 		if listed && !s.draining(r.now) {
 			r.note("server_draining", "", s.Name, "marked in the list", "")
--- a/internal/reducer/schedule.go
+++ b/internal/reducer/schedule.go
@@ -58,9 +58,7 @@
 		r.forgetMembers()
 	}
 	r.limitLinks()
-	for _, p := range r.pools {
-		r.pump(p)
-	}
+	r.pumpAll()
 	r.checkStop()
 }
 
--- a/internal/reducer/table.go
+++ b/internal/reducer/table.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -104,8 +105,8 @@
 			r.own(a)
 		}
 	}
-	for _, s := range r.servers {
-		if s.owned && !mine[s.Name] {
+	for _, name := range slices.Sorted(maps.Keys(r.servers)) {
+		if s := r.servers[name]; s.owned && !mine[name] {
 			r.disown(s)
 		}
 	}
@@ -243,9 +244,7 @@
 		p := r.pool(a.Service)
 		p.servers = append(p.servers, s)
 	}
-	for _, p := range r.pools {
-		r.pump(p)
-	}
+	r.pumpAll()
 }
 
 func (r *Reducer) listed(e message.Listed) {
