--- a/internal/model/gossip.go
+++ b/internal/model/gossip.go
@@ -40,8 +40,10 @@
 
 // Share is where one home's traffic of a service went in the last full period.
 type Share struct {
-	Service  string
-	Home     string
+	Service string
+	Home    string
+	// Regions are where the traffic may run, as one word.
+	Regions  string
 	Domain   string
 	Fraction float64
 	// Arrivals weighs the fraction when several instances report one home.
--- a/internal/reducer/digest.go
+++ b/internal/reducer/digest.go
@@ -94,6 +94,7 @@
 			shares = append(shares, model.Share{
 				Service:  f.service,
 				Home:     f.home,
+				Regions:  f.regions,
 				Domain:   domain,
 				Fraction: fraction,
 				Arrivals: s.Weight(),
@@ -108,6 +109,7 @@
 	return cmp.Or(
 		cmp.Compare(a.Service, b.Service),
 		cmp.Compare(a.Home, b.Home),
+		cmp.Compare(a.Regions, b.Regions),
 		cmp.Compare(a.Domain, b.Domain),
 	)
 }
--- a/internal/reducer/flow.go
+++ b/internal/reducer/flow.go
@@ -26,7 +26,7 @@
 }
 
 func (r *Reducer) shifter(w *work) *shifter.Shifter {
-	return r.flow(flow{service: w.kind.Service, home: w.request.Home})
+	return r.flow(flow{service: w.kind.Service, home: w.request.Home, regions: w.kind.regions})
 }
 
 // flow returns the shifter of a flow. A new one starts from where the rest of
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -281,7 +281,7 @@
 
 func addShares(totals map[string]float64, shares []model.Share, f flow) {
 	for _, s := range shares {
-		if s.Service == f.service && s.Home == f.home {
+		if s.Service == f.service && s.Home == f.home && s.Regions == f.regions {
 			totals[s.Domain] += s.Fraction * float64(s.Arrivals)
 		}
 	}
--- a/internal/reducer/policy.go
+++ b/internal/reducer/policy.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 
 	"github.com/yuccathread/yuccathread/internal/locator"
 	"github.com/yuccathread/yuccathread/internal/model"
@@ -32,6 +33,8 @@
 	model.Kind
 
 	rank int
+	// regions is Regions as one word.
+	regions string
 }
 
 type linkKey struct {
@@ -60,7 +63,7 @@
 		p.floors = append(p.floors, x.Floor)
 	}
 	for _, x := range c.Kinds {
-		p.kinds[x.Name] = &kindPolicy{Kind: x, rank: ranks[x.Rank]}
+		p.kinds[x.Name] = &kindPolicy{Kind: x, rank: ranks[x.Rank], regions: strings.Join(x.Regions, ",")}
 		p.largest = max(p.largest, x.MaxBodyBytes+envelopeBytes, x.AnswerBytes+envelopeBytes)
 	}
 	for _, x := range c.Services {
--- a/internal/reducer/reducer.go
+++ b/internal/reducer/reducer.go
@@ -81,10 +81,13 @@
 	stopping stopping
 }
 
-// flow names the traffic that one shifter follows.
+// flow names the traffic that one shifter follows. Kinds that may run in
+// different regions are different flows: one that cannot move must not wait
+// until another comes back.
 type flow struct {
 	service string
 	home    string
+	regions string
 }
 
 // Reduce takes in one event and returns what is to be done.
--- a/internal/session/chaos_test.go
+++ b/internal/session/chaos_test.go
@@ -24,15 +24,31 @@
 	patches = 40
 )
 
+// deployment names the kinds of work that a random session sends, and how much
+// of each beside chaosRate.
+type deployment struct {
+	name, once string
+	rates      map[string]float64
+}
+
+var deployments = []deployment{
+	{"verhaegen", "order", map[string]float64{"stock": 3, "catalogue": 2, "compatibility": 0.5}},
+	{"sidi-rail", "settlement", map[string]float64{"availability": 3, "wagon-slots": 2, "tariff": 0.5}},
+}
+
 // chaos breaks something at random every second or so.
 type chaos struct {
 	*world
+	deployment
 
 	names    []string
 	accepted int64
 	patched  int
 }
 
+// repeatable is a kind that any instance serves in its own region.
+func (c *chaos) repeatable() string { return sortedKeys(c.rates)[0] }
+
 func (c *chaos) name() string { return c.names[c.random.IntN(len(c.names))] }
 
 func (c *chaos) step() {
@@ -93,7 +109,7 @@
 	for range 1 + c.random.IntN(3) {
 		name := c.name()
 		c.after(time.Duration(c.random.Int64N(int64(15*time.Second))), func() {
-			c.send(name, "order", key)
+			c.send(name, c.once, key)
 		})
 	}
 }
@@ -140,7 +156,8 @@
 }
 
 func runChaos(t *testing.T, seed uint64) {
-	c := &chaos{world: load(t, seed, "verhaegen")}
+	d := deployments[seed%2]
+	c := &chaos{world: load(t, seed, d.name), deployment: d}
 	c.names = sortedKeys(c.nodes)
 	for _, u := range c.servers {
 		work := u.work
@@ -159,8 +176,8 @@
 	for i := range 300 {
 		c.after(time.Duration(c.random.Int64N(int64(chaosTime))), func() { c.keyed(i) })
 	}
-	for kind, times := range map[string]float64{"stock": 3, "catalogue": 2, "compatibility": 0.5} {
-		c.stream(kind, times*chaosRate*float64(len(c.names)), chaosTime, c.names...)
+	for _, kind := range sortedKeys(d.rates) {
+		c.stream(kind, d.rates[kind]*chaosRate*float64(len(c.names)), chaosTime, c.names...)
 	}
 	for range patches {
 		c.after(time.Duration(c.random.Int64N(int64(chaosTime))), c.operate)
@@ -195,7 +212,7 @@
 	assert.Equal(c.t, owned, len(c.servers))
 	first := len(c.results)
 	for _, name := range c.names {
-		c.stream("stock", 20, 2*time.Second, name)
+		c.stream(c.repeatable(), 20, 2*time.Second, name)
 	}
 	c.run(4 * time.Second)
 	for _, r := range c.results[first:] {
