--- a/internal/estimator/estimator.go
+++ b/internal/estimator/estimator.go
@@ -56,8 +56,3 @@
 	}
 	return e.mean + boundWidth*e.deviation
 }
-
-// Samples returns the number of samples taken in.
-func (e *Estimator) Samples() uint64 {
-	return e.samples
-}
--- a/internal/message/effect.go
+++ b/internal/message/effect.go
@@ -84,7 +84,6 @@
 
 // ReplyGossip answers a Gossiped.
 type ReplyGossip struct {
-	Call   uint64
 	Gossip model.Gossip
 }
 
--- a/internal/message/message.go
+++ b/internal/message/message.go
@@ -85,7 +85,6 @@
 
 // Gossiped is a gossip request from another instance.
 type Gossiped struct {
-	Call   uint64
 	Gossip model.Gossip
 }
 
--- a/internal/reducer/gossip.go
+++ b/internal/reducer/gossip.go
@@ -177,7 +177,7 @@
 	if e.Gossip.WantSummaries {
 		g.Summaries = r.newerSummaries(e.Gossip.KnownSummaries)
 	}
-	r.emit(message.ReplyGossip{Call: e.Call, Gossip: g})
+	r.emit(message.ReplyGossip{Gossip: g})
 }
 
 func (r *Reducer) gossipAnswered(e message.GossipAnswered) {
--- a/internal/reducer/table.go
+++ b/internal/reducer/table.go
@@ -31,6 +31,7 @@
 	read          bool
 	writing       time.Time
 	listing       *model.Listing
+	listAway      bool
 	// leaving names the servers that the list marks, read here or by a sibling.
 	leaving []string
 }
@@ -255,6 +256,7 @@
 		}
 	}
 	r.members.seeds[e.Domain] = seeds
+	r.table.listAway = false
 	if e.Domain == r.Self.Domain {
 		listing := e.Listing
 		r.table.listing = &listing
@@ -274,7 +276,13 @@
 	return leaving
 }
 
-func (r *Reducer) listFailed(message.ListFailed) {}
+// listFailed goes on with the newest list that was read.
+func (r *Reducer) listFailed(e message.ListFailed) {
+	if !r.table.listAway {
+		r.note("list_away", "", e.Domain, "no answer", "")
+	}
+	r.table.listAway = true
+}
 
 // plan writes a new table if this instance is the one to do it and what is
 // known asks for a change.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -101,13 +101,6 @@
 	return item, true
 }
 
-// Charge counts slot time that a rank took without waiting, so that it is
-// weighed against the floors of those who wait.
-func (s *Scheduler[T]) Charge(rank int, cost time.Duration) {
-	s.rank(rank)
-	s.charge(rank, cost)
-}
-
 // Remove takes out a waiting item, for example because its caller is gone. It
 // costs the item's rank and kind nothing.
 func (s *Scheduler[T]) Remove(id string) bool {
