Collect the time line through each failure domain

Cause: yuccactl asked the instances that summaries name, at most four of a failure domain; requests did not show in the logs at any level.

Change: an instance collects its domain's records over net/rpc, each call bounded, and names who did not answer; yuccactl asks one instance of each domain. At log level debug requests' records are logged with their ids.

Figures: TestWholePath finds the records of all three instances; it did not fail before, since three instances are all named.

--- a/internal/answerer/answerer.go
+++ b/internal/answerer/answerer.go
@@ -18,7 +18,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/semaphore"
@@ -39,6 +38,7 @@
 type Answerer struct {
 	Engine   *engine.Engine
 	Executor *executor.Executor
+	Gossiper *gossiper.Gossiper
 	Patcher  *patcher.Patcher
 	Registry metrics.Registry
 	Clock    clock.Clock
@@ -191,40 +191,6 @@
 	return convert[api.Status](a.status())
 }
 
-// GetTimeline returns the newest records that fit the filters.
-func (a *Answerer) GetTimeline(_ context.Context, params api.GetTimelineParams) (*api.Timeline, error) {
-	answer := &api.Timeline{Instance: a.Self.Name}
-	for _, x := range a.Executor.Timeline() {
-		if !strings.HasPrefix(x.Request, params.Request.Value) {
-			continue
-		}
-		if params.Kind.Value != "" && params.Kind.Value != x.Kind {
-			continue
-		}
-		if params.Subject.Value != "" && params.Subject.Value != x.Subject {
-			continue
-		}
-		answer.Records = append(answer.Records, newRecord(x))
-	}
-	if excess := len(answer.Records) - params.Limit.Value; excess > 0 {
-		answer.Records = answer.Records[excess:]
-	}
-	return answer, nil
-}
-
-func newRecord(x model.Record) api.Record {
-	return api.Record{
-		WallMs:   x.WallMS,
-		Logical:  int(x.Logical),
-		Instance: x.Instance,
-		Kind:     x.Kind,
-		Request:  optional(x.Request),
-		Subject:  optional(x.Subject),
-		Reason:   optional(x.Reason),
-		Inputs:   optional(x.Inputs),
-	}
-}
-
 func optional(text string) api.OptString {
 	return api.OptString{Value: text, Set: text != ""}
 }
--- a/internal/answerer/work.go
+++ b/internal/answerer/work.go
@@ -235,6 +235,12 @@
 	return nil
 }
 
+// Timeline hands out records of this instance's time line.
+func (p *peer) Timeline(query model.TimelineQuery, reply *[]model.Record) error {
+	*reply = p.answerer.selectRecords(query)
+	return nil
+}
+
 // Table hands out the failure domain's table as known here.
 func (p *peer) Table(_ model.Empty, reply *model.Table) error {
 	p.answerer.Engine.View(func(r *reducer.Reducer) { *reply = r.Table() })
--- a/internal/api/oas_client_gen.go
+++ b/internal/api/oas_client_gen.go
@@ -41,7 +41,7 @@
 	GetStatus(ctx context.Context) (*Status, error)
 	// GetTimeline invokes getTimeline operation.
 	//
-	// The newest records of this instance's time line, oldest first.
+	// The newest records of the time line, oldest first.
 	//
 	// GET /v1/timeline
 	GetTimeline(ctx context.Context, params GetTimelineParams) (*Timeline, error)
@@ -252,7 +252,7 @@
 
 // GetTimeline invokes getTimeline operation.
 //
-// The newest records of this instance's time line, oldest first.
+// The newest records of the time line, oldest first.
 //
 // GET /v1/timeline
 func (c *Client) GetTimeline(ctx context.Context, params GetTimelineParams) (*Timeline, error) {
@@ -336,6 +336,23 @@
 			return res, errors.Wrap(err, "encode query")
 		}
 	}
+	{
+		// Encode "scope" parameter.
+		cfg := uri.QueryParameterEncodingConfig{
+			Name:    "scope",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.EncodeParam(cfg, func(e uri.Encoder) error {
+			if val, ok := params.Scope.Get(); ok {
+				return e.EncodeValue(conv.StringToString(string(val)))
+			}
+			return nil
+		}); err != nil {
+			return res, errors.Wrap(err, "encode query")
+		}
+	}
 	u.RawQuery = q.Values().Encode()
 
 	r, err := ht.NewRequest(ctx, "GET", u)
--- a/internal/api/oas_handlers_gen.go
+++ b/internal/api/oas_handlers_gen.go
@@ -277,7 +277,7 @@
 
 // handleGetTimelineRequest handles getTimeline operation.
 //
-// The newest records of this instance's time line, oldest first.
+// The newest records of the time line, oldest first.
 //
 // GET /v1/timeline
 func (s *Server) handleGetTimelineRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
@@ -310,7 +310,7 @@
 		mreq := middleware.Request{
 			Context:          ctx,
 			OperationName:    GetTimelineOperation,
-			OperationSummary: "The newest records of this instance's time line, oldest first.",
+			OperationSummary: "The newest records of the time line, oldest first.",
 			OperationID:      "getTimeline",
 			Body:             nil,
 			RawBody:          rawBody,
@@ -331,6 +331,10 @@
 					Name: "limit",
 					In:   "query",
 				}: params.Limit,
+				{
+					Name: "scope",
+					In:   "query",
+				}: params.Scope,
 			},
 			Raw: r,
 		}
--- a/internal/api/oas_json_gen.go
+++ b/internal/api/oas_json_gen.go
@@ -3002,11 +3002,22 @@
 			e.ArrEnd()
 		}
 	}
+	{
+		if s.Missing != nil {
+			e.FieldStart("missing")
+			e.ArrStart()
+			for _, elem := range s.Missing {
+				e.Str(elem)
+			}
+			e.ArrEnd()
+		}
+	}
 }
 
-var jsonFieldsNameOfTimeline = [2]string{
+var jsonFieldsNameOfTimeline = [3]string{
 	0: "instance",
 	1: "records",
+	2: "missing",
 }
 
 // Decode decodes Timeline from json.
@@ -3047,6 +3058,25 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"records\"")
 			}
+		case "missing":
+			if err := func() error {
+				s.Missing = make([]string, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem string
+					v, err := d.Str()
+					elem = string(v)
+					if err != nil {
+						return err
+					}
+					s.Missing = append(s.Missing, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"missing\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/internal/api/oas_parameters_gen.go
+++ b/internal/api/oas_parameters_gen.go
@@ -95,6 +95,8 @@
 	Kind    OptString `json:",omitempty,omitzero"`
 	Subject OptString `json:",omitempty,omitzero"`
 	Limit   OptInt    `json:",omitempty,omitzero"`
+	// The instance asked, or all instances of its failure domain.
+	Scope OptGetTimelineScope `json:",omitempty,omitzero"`
 }
 
 func unpackGetTimelineParams(packed middleware.Parameters) (params GetTimelineParams) {
@@ -134,6 +136,15 @@
 			params.Limit = v.(OptInt)
 		}
 	}
+	{
+		key := middleware.ParameterKey{
+			Name: "scope",
+			In:   "query",
+		}
+		if v, ok := packed[key]; ok {
+			params.Scope = v.(OptGetTimelineScope)
+		}
+	}
 	return params
 }
 
@@ -414,6 +425,67 @@
 			Err:  err,
 		}
 	}
+	// Set default value for query: scope.
+	{
+		val := GetTimelineScope("instance")
+		params.Scope.SetTo(val)
+	}
+	// Decode query: scope.
+	if err := func() error {
+		cfg := uri.QueryParameterDecodingConfig{
+			Name:    "scope",
+			Style:   uri.QueryStyleForm,
+			Explode: true,
+		}
+
+		if err := q.HasParam(cfg); err == nil {
+			if err := q.DecodeParam(cfg, func(d uri.Decoder) error {
+				var paramsDotScopeVal GetTimelineScope
+				if err := func() error {
+					val, err := d.DecodeValue()
+					if err != nil {
+						return err
+					}
+
+					c, err := conv.ToString(val)
+					if err != nil {
+						return err
+					}
+
+					paramsDotScopeVal = GetTimelineScope(c)
+					return nil
+				}(); err != nil {
+					return err
+				}
+				params.Scope.SetTo(paramsDotScopeVal)
+				return nil
+			}); err != nil {
+				return err
+			}
+			if err := func() error {
+				if value, ok := params.Scope.Get(); ok {
+					if err := func() error {
+						if err := value.Validate(); err != nil {
+							return err
+						}
+						return nil
+					}(); err != nil {
+						return err
+					}
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "scope",
+			In:   "query",
+			Err:  err,
+		}
+	}
 	return params, nil
 }
 
--- a/internal/api/oas_router_gen.go
+++ b/internal/api/oas_router_gen.go
@@ -560,7 +560,7 @@
 						switch method {
 						case "GET":
 							r.name = GetTimelineOperation
-							r.summary = "The newest records of this instance's time line, oldest first."
+							r.summary = "The newest records of the time line, oldest first."
 							r.operationID = "getTimeline"
 							r.operationGroup = ""
 							r.pathPattern = "/v1/timeline"
--- a/internal/api/oas_schemas_gen.go
+++ b/internal/api/oas_schemas_gen.go
@@ -229,6 +229,47 @@
 	s.Message = val
 }
 
+type GetTimelineScope string
+
+const (
+	GetTimelineScopeInstance GetTimelineScope = "instance"
+	GetTimelineScopeDomain   GetTimelineScope = "domain"
+)
+
+// AllValues returns all GetTimelineScope values.
+func (GetTimelineScope) AllValues() []GetTimelineScope {
+	return []GetTimelineScope{
+		GetTimelineScopeInstance,
+		GetTimelineScopeDomain,
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (s GetTimelineScope) MarshalText() ([]byte, error) {
+	switch s {
+	case GetTimelineScopeInstance:
+		return []byte(s), nil
+	case GetTimelineScopeDomain:
+		return []byte(s), nil
+	default:
+		return nil, errors.Errorf("invalid value: %q", s)
+	}
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *GetTimelineScope) UnmarshalText(data []byte) error {
+	switch GetTimelineScope(data) {
+	case GetTimelineScopeInstance:
+		*s = GetTimelineScopeInstance
+		return nil
+	case GetTimelineScopeDomain:
+		*s = GetTimelineScopeDomain
+		return nil
+	default:
+		return errors.Errorf("invalid value: %q", data)
+	}
+}
+
 // Ref: #/components/schemas/Head
 type Head struct {
 	Version  int64     `json:"version"`
@@ -582,6 +623,52 @@
 	return d
 }
 
+// NewOptGetTimelineScope returns new OptGetTimelineScope with value set to v.
+func NewOptGetTimelineScope(v GetTimelineScope) OptGetTimelineScope {
+	return OptGetTimelineScope{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptGetTimelineScope is optional GetTimelineScope.
+type OptGetTimelineScope struct {
+	Value GetTimelineScope
+	Set   bool
+}
+
+// IsSet returns true if OptGetTimelineScope was set.
+func (o OptGetTimelineScope) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptGetTimelineScope) Reset() {
+	var v GetTimelineScope
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptGetTimelineScope) SetTo(v GetTimelineScope) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptGetTimelineScope) Get() (v GetTimelineScope, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptGetTimelineScope) Or(d GetTimelineScope) GetTimelineScope {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptInt returns new OptInt with value set to v.
 func NewOptInt(v int) OptInt {
 	return OptInt{
@@ -1275,6 +1362,8 @@
 type Timeline struct {
 	Instance string   `json:"instance"`
 	Records  []Record `json:"records"`
+	// Instances that did not answer.
+	Missing []string `json:"missing"`
 }
 
 // GetInstance returns the value of Instance.
@@ -1287,6 +1376,11 @@
 	return s.Records
 }
 
+// GetMissing returns the value of Missing.
+func (s *Timeline) GetMissing() []string {
+	return s.Missing
+}
+
 // SetInstance sets the value of Instance.
 func (s *Timeline) SetInstance(val string) {
 	s.Instance = val
@@ -1296,3 +1390,8 @@
 func (s *Timeline) SetRecords(val []Record) {
 	s.Records = val
 }
+
+// SetMissing sets the value of Missing.
+func (s *Timeline) SetMissing(val []string) {
+	s.Missing = val
+}
--- a/internal/api/oas_server_gen.go
+++ b/internal/api/oas_server_gen.go
@@ -28,7 +28,7 @@
 	GetStatus(ctx context.Context) (*Status, error)
 	// GetTimeline implements getTimeline operation.
 	//
-	// The newest records of this instance's time line, oldest first.
+	// The newest records of the time line, oldest first.
 	//
 	// GET /v1/timeline
 	GetTimeline(ctx context.Context, params GetTimelineParams) (*Timeline, error)
--- a/internal/api/oas_validators_gen.go
+++ b/internal/api/oas_validators_gen.go
@@ -7,6 +7,17 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+func (s GetTimelineScope) Validate() error {
+	switch s {
+	case "instance":
+		return nil
+	case "domain":
+		return nil
+	default:
+		return errors.Errorf("invalid value: %v", s)
+	}
+}
+
 func (s *LookUpAnswer) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
--- a/internal/ctl/operator.go
+++ b/internal/ctl/operator.go
@@ -290,21 +290,19 @@
 	}
 }
 
-// timeline merges the records of all instances that the entry knows.
+// timeline merges the records of all instances: one instance of each failure
+// domain collects its domain's.
 func (t *tool) timeline(ctx context.Context, params api.GetTimelineParams) error {
 	status, err := t.status(ctx, t.entry)
 	if err != nil {
 		return err
 	}
-	addresses := map[string]bool{t.entry: true}
-	for _, d := range status.Domains {
-		for _, a := range d.Addresses {
-			addresses[a] = true
-		}
+	if len(status.Domains) == 0 {
+		// There is no configuration yet that names the failure domains.
+		status.Domains = []api.DomainStatus{{Name: status.Instance.Domain, Addresses: []string{t.entry}}}
 	}
-	delete(addresses, status.Instance.Address)
-	addresses[t.entry] = true
-	records := t.collect(ctx, addresses, params)
+	params.Scope = api.NewOptGetTimelineScope(api.GetTimelineScopeDomain)
+	records := t.collect(ctx, status.Domains, params)
 	slices.SortStableFunc(records, compareRecords)
 	if t.json {
 		t.print(records)
@@ -318,25 +316,24 @@
 	return nil
 }
 
-func (t *tool) collect(ctx context.Context, addresses map[string]bool, params api.GetTimelineParams) []api.Record {
+func (t *tool) collect(ctx context.Context, domains []api.DomainStatus, params api.GetTimelineParams) []api.Record {
 	ctx, cancel := bounded(ctx)
 	defer cancel()
 	var mutex sync.Mutex
 	var records []api.Record
 	var group sync.WaitGroup
-	for address := range addresses {
+	for _, d := range domains {
 		group.Go(func() {
-			c, err := t.client(address)
-			if err != nil {
-				return
-			}
-			answer, err := c.GetTimeline(ctx, params)
+			answer := t.askDomain(ctx, d, params)
 			mutex.Lock()
 			defer mutex.Unlock()
-			if err != nil {
-				fmt.Fprintf(t.err, "yuccactl: no time line from %s: %v\n", address, err)
+			if answer == nil {
+				fmt.Fprintf(t.err, "yuccactl: no time line from failure domain %s\n", d.Name)
 				return
 			}
+			for _, name := range answer.Missing {
+				fmt.Fprintf(t.err, "yuccactl: no time line from %s\n", name)
+			}
 			records = append(records, answer.Records...)
 		})
 	}
@@ -344,6 +341,20 @@
 	return records
 }
 
+// askDomain asks a failure domain's instances in turn until one answers.
+func (t *tool) askDomain(ctx context.Context, d api.DomainStatus, params api.GetTimelineParams) *api.Timeline {
+	for _, address := range d.Addresses {
+		c, err := t.client(address)
+		if err != nil {
+			continue
+		}
+		if answer, err := c.GetTimeline(ctx, params); err == nil {
+			return answer
+		}
+	}
+	return nil
+}
+
 // compareRecords orders records as hybrid logical clocks do.
 func compareRecords(a, b api.Record) int {
 	return cmp.Or(
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -140,15 +140,21 @@
 	}()
 }
 
-// note keeps a record, and logs it if it is not about a single request.
+// note keeps a record and logs it; what is about a single request is logged for
+// debugging only.
 func (x *Executor) note(r model.Record) {
 	x.mutex.Lock()
 	x.timeline.Add(r)
 	x.mutex.Unlock()
+	level := slog.LevelInfo
 	if r.Request != "" {
+		level = slog.LevelDebug
+	}
+	if !x.Logger.Enabled(x.ctx, level) {
 		return
 	}
-	go x.Logger.Info(r.Kind,
+	go x.Logger.Log(x.ctx, level, r.Kind,
+		slog.String("request", r.Request),
 		slog.String("subject", r.Subject),
 		slog.String("reason", r.Reason),
 		slog.String("inputs", r.Inputs),
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -63,6 +63,13 @@
 	return table, err
 }
 
+// Timeline asks an instance for records of its time line.
+func (g *Gossiper) Timeline(address string, query model.TimelineQuery) ([]model.Record, error) {
+	var records []model.Record
+	err := g.call(address, "Timeline", query, &records)
+	return records, err
+}
+
 func (g *Gossiper) call(address, method string, question, reply any) error {
 	client, err := g.client(address)
 	if err != nil {
--- a/internal/model/status.go
+++ b/internal/model/status.go
@@ -31,6 +31,7 @@
 type MemberStatus struct {
 	Name                 string `json:"name"`
 	Address              string `json:"address"`
+	PeerAddress          string `json:"-"`
 	Alive                bool   `json:"alive"`
 	Leaving              bool   `json:"leaving"`
 	ConfigurationVersion int64  `json:"configuration_version"`
--- a/internal/model/timeline.go
+++ b/internal/model/timeline.go
@@ -17,3 +17,13 @@
 	Reason   string `json:"reason,omitempty"`
 	Inputs   string `json:"inputs,omitempty"`
 }
+
+// TimelineQuery selects records. Empty fields select everything.
+type TimelineQuery struct {
+	// Request is a request id or the beginning of one.
+	Request string
+	Kind    string
+	Subject string
+	// Limit is the number of newest records, oldest first.
+	Limit int
+}
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -27,6 +27,7 @@
 		s.Members = append(s.Members, model.MemberStatus{
 			Name:                 x.Name,
 			Address:              x.Address,
+			PeerAddress:          x.PeerAddress,
 			Alive:                r.now.Sub(x.heard) < r.members.suspectAfter(),
 			Leaving:              x.leaving,
 			ConfigurationVersion: x.version,
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -141,6 +141,7 @@
 	a := &answerer.Answerer{
 		Engine:       r.engine,
 		Executor:     r.executor,
+		Gossiper:     r.gossiper,
 		Patcher:      &patcher.Patcher{Store: r.executor.Store, Clock: r.Clock, RetryDelay: patchRetryDelay},
 		Registry:     r.registry,
 		Clock:        r.Clock,
