Show that cold servers are ramped up

Change: a session adds a server under a load that fills every slot.

Figures: at most 3 of 9 slots in the first second after its first request, all 9 after 13 s (slow start of 10 s). Fails without the ramp.

Conclusion: the ramp holds.

--- a/internal/session/failure_test.go
+++ b/internal/session/failure_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -292,3 +293,30 @@
 	}
 	assert.Assert(t, ran > 100, "%d ran", ran)
 }
+
+// TestColdServer adds a server under a load that fills every slot: it gets work
+// slowly at first, and all its slots in the end.
+func TestColdServer(t *testing.T) {
+	w := load(t, 14, "verhaegen")
+	for _, u := range w.servers {
+		u.work = func() time.Duration { return w.jitter(100 * time.Millisecond) }
+	}
+	w.run(settled)
+	w.stream("stock", 800, 20*time.Second, "gent-a-1", "gent-a-2")
+	w.run(time.Second)
+	s := model.Server{Name: "stock-gent-a-9", Service: "stock", Domain: "gent-a"}
+	u := w.addServer(s, 9, func() time.Duration { return w.jitter(100 * time.Millisecond) })
+	l := w.listing["gent-a"]
+	l.Servers = append(slices.Clone(l.Servers), s)
+	w.listing["gent-a"] = l
+	for u.arrived.IsZero() {
+		w.run(tick)
+		assert.Assert(t, w.elapsed() < settled+8*time.Second, "the server gets work")
+	}
+	w.run(time.Second)
+	// A tenth of the slow start and the time until the first request have passed.
+	assert.Assert(t, u.peak <= 3, "%d of 9 slots in the first second", u.peak)
+	w.run(12 * time.Second)
+	assert.Equal(t, u.peak, 9)
+	w.checkTruth()
+}
