--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -142,3 +143,36 @@
 		})
 	}
 }
+
+// TestConnectionsAreBounded sends far more at once than connections may be open.
+func TestConnectionsAreBounded(t *testing.T) {
+	var open, most atomic.Int32
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(5 * time.Millisecond)
+		fmt.Fprint(w, "done")
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			most.Store(max(most.Load(), open.Add(1)))
+		case http.StateClosed, http.StateHijacked:
+			open.Add(-1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	d := dispatcher.Dispatcher{Clock: clock.System(), MaxAnswerBytes: 1000, Connections: 4}
+	defer d.Close()
+	var group sync.WaitGroup
+	for i := range 100 {
+		group.Go(func() {
+			answered, _ := d.Run(t.Context(), message.Dispatch{
+				ID: fmt.Sprint(i), Server: model.Server{Address: strings.TrimPrefix(server.URL, "http://")},
+				Decided: time.Now(), Deadline: time.Now().Add(5 * time.Second),
+			}, model.Job{})
+			assert.Check(t, answered.Result.Outcome == model.Ran)
+		})
+	}
+	group.Wait()
+	assert.Assert(t, most.Load() <= 4, "%d connections", most.Load())
+}
