Say once what is live and fresh; leave a pool's set-up off the request path

The same two comparisons of silence with a limit stood at nine places. Every request set its pool's service, which nobody read, and its floors, which the configuration already sets in all pools.

Change: membership.live and domainView.fresh; a pool gets its floors when it is made, and the unused field is gone.

--- a/internal/reducer/gossip.go
+++ b/internal/reducer/gossip.go
@@ -123,7 +123,7 @@
 // contacts returns the instances of another failure domain to talk to.
 func (r *Reducer) contacts(domain string) []model.Instance {
 	var known []model.Instance
-	if view, ok := r.members.domains[domain]; ok && r.now.Sub(view.heard) <= remoteFresh {
+	if view, ok := r.members.domains[domain]; ok && view.fresh(r.now) {
 		for _, x := range view.sorted {
 			known = append(known, x.Instance)
 		}
--- a/internal/reducer/membership.go
+++ b/internal/reducer/membership.go
@@ -62,6 +62,11 @@
 	sorted  []*member
 }
 
+// fresh reports whether the summary is new enough to be used.
+func (v *domainView) fresh(now time.Time) bool {
+	return now.Sub(v.heard) <= remoteFresh
+}
+
 // membership is what an instance knows of the others.
 type membership struct {
 	own     map[string]*member
@@ -131,13 +136,13 @@
 func (m *membership) in(now time.Time, domain string) iter.Seq[*member] {
 	return func(yield func(*member) bool) {
 		if view, ok := m.domains[domain]; ok {
-			if now.Sub(view.heard) <= remoteFresh {
+			if view.fresh(now) {
 				each(view.sorted, yield)
 			}
 			return
 		}
 		for _, x := range m.sorted {
-			if x.Domain == domain && now.Sub(x.heard) < m.suspectAfter() && !yield(x) {
+			if x.Domain == domain && m.live(now, x) && !yield(x) {
 				return
 			}
 		}
@@ -160,6 +165,11 @@
 	return largeSuspicion
 }
 
+// live reports whether an instance of the own failure domain was heard lately.
+func (m *membership) live(now time.Time, x *member) bool {
+	return now.Sub(x.heard) < m.suspectAfter()
+}
+
 // add takes in a new instance of the own failure domain.
 func (m *membership) add(x *member) {
 	m.own[x.Name] = x
@@ -265,14 +275,12 @@
 func (m *membership) shares(now time.Time, f flow) map[string]float64 {
 	totals := make(map[string]float64)
 	for _, x := range m.sorted {
-		if now.Sub(x.heard) >= m.suspectAfter() {
-			continue
+		if m.live(now, x) {
+			addShares(totals, x.digest.Shares, f)
 		}
-		addShares(totals, x.digest.Shares, f)
 	}
 	for _, domain := range slices.Sorted(maps.Keys(m.domains)) {
-		view := m.domains[domain]
-		if now.Sub(view.heard) <= remoteFresh {
+		if view := m.domains[domain]; view.fresh(now) {
 			addShares(totals, view.Shares, f)
 		}
 	}
--- a/internal/reducer/pool.go
+++ b/internal/reducer/pool.go
@@ -35,7 +35,6 @@
 
 // pool is one service's own servers and the work that waits for them.
 type pool struct {
-	service model.Service
 	servers []*server
 	// durations follows the service's work of all kinds.
 	durations estimator.Estimator
@@ -112,16 +111,17 @@
 	return s.inFlight + foreign
 }
 
+// pool returns a service's pool. Its floors follow the configuration, which
+// sets them anew in every pool.
 func (r *Reducer) pool(service string) *pool {
 	p, ok := r.pools[service]
 	if !ok {
 		p = &pool{durations: estimator.Estimator{Initial: initialDuration}}
+		if r.policy != nil {
+			p.queue.Floors = r.policy.floors
+		}
 		r.pools[service] = p
 	}
-	if r.policy != nil {
-		p.service = r.policy.services[service]
-		p.queue.Floors = r.policy.floors
-	}
 	return p
 }
 
--- a/internal/reducer/schedule.go
+++ b/internal/reducer/schedule.go
@@ -91,7 +91,7 @@
 	for _, region := range r.policy.Regions {
 		for _, domain := range region.Domains {
 			view, ok := r.members.domains[domain]
-			heard := ok && r.now.Sub(view.heard) <= remoteFresh
+			heard := ok && view.fresh(r.now)
 			if domain != r.Self.Domain && !heard {
 				r.emit(message.ReadListing{Domain: domain})
 			}
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -28,7 +28,7 @@
 			Name:                 x.Name,
 			Address:              x.Address,
 			PeerAddress:          x.PeerAddress,
-			Alive:                r.now.Sub(x.heard) < r.members.suspectAfter(),
+			Alive:                r.members.live(r.now, x),
 			Leaving:              x.leaving,
 			ConfigurationVersion: x.version,
 		})
@@ -63,7 +63,7 @@
 		}
 		status := model.DomainStatus{Name: domain}
 		if view, ok := r.members.domains[domain]; ok {
-			status.Heard = r.now.Sub(view.heard) <= remoteFresh
+			status.Heard = view.fresh(r.now)
 			status.OldestVersion = view.OldestVersion
 			status.Laggards = view.Laggards
 			for _, x := range view.sorted {
--- a/internal/reducer/summary.go
+++ b/internal/reducer/summary.go
@@ -85,7 +85,7 @@
 	add(r.ownSummary)
 	for _, domain := range slices.Sorted(maps.Keys(r.members.domains)) {
 		view := r.members.domains[domain]
-		if r.now.Sub(view.heard) <= remoteFresh {
+		if view.fresh(r.now) {
 			add(view.Summary)
 		}
 	}
