--- /dev/null
+++ b/internal/carrier/carrier.go
@@ -0,0 +1,176 @@
+// Package carrier gives the reducer its events and time, and acts on its
+// effects: it sends requests to servers and brings the answers back.
+//
+// Usage:
+//
+//	c := &carrier.Carrier{Steerer: s, Forwarder: f, Clock: clock.System(), Record: record}
+//	answer := c.Carry(ctx, request, read)   // ctx ends: the caller has gone
+//	c.Do(traffic.Ticked{})
+package carrier
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/yuccathread/yuccathread/internal/clock"
+	"github.com/yuccathread/yuccathread/internal/forwarder"
+	"github.com/yuccathread/yuccathread/internal/steerer"
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+// Carrier is the shell of one reducer. Set the exported fields before the
+// first event.
+type Carrier struct {
+	Steerer   *steerer.Steerer
+	Forwarder *forwarder.Forwarder
+	Clock     clock.Clock
+	// Record takes log lines; it must not block.
+	Record func(traffic.Record)
+	// Reannounce is called when this instance's record is missing; it must not
+	// block.
+	Reannounce func()
+
+	mutex sync.Mutex
+	last  uint64
+	calls map[uint64]*exchange
+}
+
+// exchange is a request under way.
+type exchange struct {
+	request traffic.Request
+	until   time.Time
+	final   chan traffic.Effect
+	cancel  context.CancelFunc
+}
+
+// Carry serves one request and returns its final answer: a Deliver or an
+// Answer, or nil if the caller has gone.
+func (c *Carrier) Carry(ctx context.Context, request traffic.Request, read time.Time) traffic.Effect {
+	x := &exchange{request: request, final: make(chan traffic.Effect, 1)}
+	number := c.arrive(x, read)
+	timer := time.NewTimer(x.until.Sub(c.Clock.Now()))
+	defer timer.Stop()
+	for {
+		select {
+		case e := <-x.final:
+			return e
+		case <-timer.C:
+			c.Do(traffic.Expired{Call: number})
+		case <-ctx.Done():
+			c.Do(traffic.Left{Call: number})
+			return nil
+		}
+	}
+}
+
+func (c *Carrier) arrive(x *exchange, read time.Time) uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.calls == nil {
+		c.calls = make(map[uint64]*exchange)
+	}
+	c.last++
+	number := c.last
+	c.calls[number] = x
+	c.reduce(traffic.Arrived{Call: number, Request: x.request, Read: read})
+	return number
+}
+
+// Do takes in an event.
+func (c *Carrier) Do(e traffic.Event) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.reduce(e)
+}
+
+// Look answers a look-up.
+func (c *Carrier) Look(q traffic.Query) traffic.Named {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var named traffic.Named
+	for _, effect := range c.Steerer.Reduce(c.Clock.Now(), traffic.LookedUp{Query: q}) {
+		if n, ok := effect.(traffic.Named); ok {
+			named = n
+		}
+	}
+	return named
+}
+
+// View calls a function with the reducer, for reading only.
+func (c *Carrier) View(read func(*steerer.Steerer)) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	read(c.Steerer)
+}
+
+func (c *Carrier) reduce(e traffic.Event) {
+	for _, effect := range c.Steerer.Reduce(c.Clock.Now(), e) {
+		c.execute(effect)
+	}
+}
+
+// execute starts an effect; it is called with the mutex held and never blocks.
+func (c *Carrier) execute(effect traffic.Effect) {
+	switch e := effect.(type) {
+	case traffic.Admit:
+		if x := c.calls[e.Call]; x != nil {
+			x.until = e.Until
+		}
+	case traffic.Send:
+		c.send(e)
+	case traffic.Cancel:
+		if x := c.calls[e.Call]; x != nil && x.cancel != nil {
+			x.cancel()
+		}
+	case traffic.Deliver:
+		c.finish(e.Call, e)
+	case traffic.Answer:
+		c.finish(e.Call, e)
+	case traffic.Record:
+		c.Record(e)
+	case traffic.Reannounce:
+		c.Reannounce()
+	case traffic.Forget:
+		// Connections to servers that have gone end by themselves.
+	}
+}
+
+func (c *Carrier) finish(number uint64, e traffic.Effect) {
+	x := c.calls[number]
+	if x == nil {
+		return
+	}
+	if x.cancel == nil {
+		delete(c.calls, number)
+	}
+	select {
+	case x.final <- e:
+	default:
+	}
+}
+
+func (c *Carrier) send(e traffic.Send) {
+	x := c.calls[e.Call]
+	if x == nil {
+		return
+	}
+	// The exchange outlives the caller where its work must be finished.
+	ctx, cancel := context.WithCancel(context.Background())
+	x.cancel = cancel
+	go func() {
+		outcome := c.Forwarder.Exchange(ctx, x.request, e)
+		cancel()
+		c.ended(x, e, outcome)
+	}()
+}
+
+func (c *Carrier) ended(x *exchange, e traffic.Send, outcome traffic.Outcome) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	x.cancel = nil
+	c.reduce(traffic.Ended{Call: e.Call, Attempt: e.Attempt, Outcome: outcome})
+	if x.cancel == nil {
+		delete(c.calls, e.Call)
+	}
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
@@ -54,6 +53,9 @@
   yuccathread -settings FILE -config-check
   yuccathread -settings FILE -config-dump
   yuccathread -settings FILE -healthcheck
+  yuccathread -steer FILE                an entry instance on a managed platform
+  yuccathread -steer FILE -config-check
+  yuccathread -steer FILE -config-dump
   yuccathread -stand-in FILE             stand-ins for the platform and upstreams
   yuccathread -version
 
@@ -76,6 +78,7 @@
 // command is a parsed command line.
 type command struct {
 	settings    string
+	steer       string
 	standIn     string
 	demo        bool
 	configCheck bool
@@ -97,6 +100,7 @@
 		flags.PrintDefaults()
 	}
 	flags.StringVar(&c.settings, "settings", "", "`file` with the settings, JSON with comments")
+	flags.StringVar(&c.steer, "steer", "", "run on a managed platform with the settings in a `file`, JSON with comments")
 	flags.StringVar(&c.standIn, "stand-in", "", "run the stand-ins that a `file` describes")
 	flags.BoolVar(&c.demo, "demo", false, "run a demonstration")
 	flags.BoolVar(&c.configCheck, "config-check", false, "check the settings and print every finding")
@@ -127,9 +131,11 @@
 		return c.until(d.Run)
 	case c.standIn != "":
 		return c.runStandIns()
+	case c.steer != "":
+		return c.runSteering()
 	case c.settings == "" && c.configDump:
 		var l settings.Loader
-		return c.print(l.Defaults())
+		return c.printValue(l.Defaults())
 	case c.settings == "":
 		fmt.Fprintln(c.err, "yuccathread: name a settings file with -settings, or try -demo")
 		return exitUsage
@@ -148,7 +154,7 @@
 		fmt.Fprintf(c.out, "%s: no findings\n", c.settings)
 		return exitOK
 	case c.configDump:
-		return c.print(s)
+		return c.printValue(s)
 	case c.healthcheck:
 		return c.askHealth(s)
 	}
@@ -190,15 +196,6 @@
 	return slog.New(slog.NewJSONHandler(c.err, &slog.HandlerOptions{Level: l}))
 }
 
-func (c *command) print(s model.Settings) int {
-	encoder := json.NewEncoder(c.out)
-	encoder.SetIndent("", "  ")
-	if err := encoder.Encode(s); err != nil {
-		return c.fail(err)
-	}
-	return exitOK
-}
-
 func (c *command) askHealth(s model.Settings) int {
 	client := http.Client{Timeout: healthTimeout}
 	response, err := client.Get("http://" + s.Address + "/readyz")
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,110 @@
+// Package follower keeps an instance's beliefs in step with one subject of the
+// store: it reads the subject in full, then waits for changes, and starts over
+// when the store has dropped the history in between.
+//
+// Usage:
+//
+//	f := &follower.Follower{Store: store, Subject: traffic.Upstreams, Do: carrier.Do, Logger: logger}
+//	f.Run(ctx)
+package follower
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+const (
+	// callTimeout bounds the store's answer beyond the time that it may wait.
+	callTimeout = 1500 * time.Millisecond
+	// retryDelay is the mean pause after a failed call.
+	retryDelay = 250 * time.Millisecond
+)
+
+// Follower follows one subject. Set the fields before Run.
+type Follower struct {
+	Store   traffic.Store
+	Subject traffic.Subject
+	// Do takes in events.
+	Do     func(traffic.Event)
+	Logger *slog.Logger
+	// Wait is how long one call may wait for changes.
+	Wait time.Duration
+	// Pause is the time between two calls, in which changes gather.
+	Pause time.Duration
+
+	revision int64
+	lost     bool
+}
+
+// Run follows the subject until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	known := false
+	for ctx.Err() == nil {
+		news, err := f.next(ctx, known)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, traffic.ErrHistoryLost):
+			f.Logger.Info("store history dropped", "subject", string(f.Subject), "revision", f.revision)
+			known = false
+			continue
+		case err != nil:
+			f.fail(err)
+			sleep(ctx, retryDelay/2+rand.N(retryDelay))
+			continue
+		}
+		known = true
+		f.take(news)
+		sleep(ctx, f.Pause)
+	}
+}
+
+func (f *Follower) next(ctx context.Context, known bool) (traffic.News, error) {
+	if !known {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		return f.Store.Read(ctx, f.Subject)
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+callTimeout)
+	defer cancel()
+	return f.Store.Follow(ctx, f.Subject, f.revision, f.Wait)
+}
+
+func (f *Follower) take(news traffic.News) {
+	if f.lost {
+		f.lost = false
+		f.Do(traffic.StoreRegained{Subject: f.Subject})
+	}
+	f.revision = news.Revision
+	for _, err := range news.Rejected {
+		f.Logger.Warn("record rejected", "subject", string(f.Subject), "error", err.Error())
+	}
+	for _, e := range news.Events {
+		f.Do(e)
+	}
+}
+
+func (f *Follower) fail(err error) {
+	if f.lost {
+		return
+	}
+	f.lost = true
+	f.Do(traffic.StoreLost{Subject: f.Subject, Err: err})
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/launcher/launcher.go
@@ -0,0 +1,300 @@
+// Package launcher puts an instance on a managed platform together and runs it
+// until it is told to stop.
+//
+// Usage:
+//
+//	l := &launcher.Launcher{Settings: s, Store: store, Codec: codec, ...}
+//	err := l.Run(ctx)   // ends after ctx: first a graceful shutdown
+package launcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
+
+	"github.com/yuccathread/yuccathread/internal/carrier"
+	"github.com/yuccathread/yuccathread/internal/clock"
+	"github.com/yuccathread/yuccathread/internal/exposer"
+	"github.com/yuccathread/yuccathread/internal/follower"
+	"github.com/yuccathread/yuccathread/internal/forwarder"
+	"github.com/yuccathread/yuccathread/internal/receiver"
+	"github.com/yuccathread/yuccathread/internal/registrar"
+	"github.com/yuccathread/yuccathread/internal/steerer"
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+const (
+	// tickInterval is the time between two ticks of the reducer.
+	tickInterval = 100 * time.Millisecond
+	// sweepTicks is the number of ticks between two looks at idle connections.
+	sweepTicks = 10
+	// maxBodyBytes bounds one body of either direction, bodiesPart the request
+	// bodies of all together, as a divisor of the memory.
+	maxBodyBytes = 8 << 20
+	bodiesPart   = 4
+	// memoryPart of the bound makes the collector work harder.
+	memoryPart = 0.7
+	// operatorWait and upstreamWait end a quiet call of the store, so that a
+	// connection gone silent is noticed within the operators' bounds.
+	operatorWait = 3 * time.Second
+	instanceWait = 10 * time.Second
+	upstreamWait = 3 * time.Second
+	// upstreamPause gathers the servers' reports between two calls.
+	upstreamPause = 500 * time.Millisecond
+	// departurePeriod is how long callers may use an answer that names this
+	// instance: three times the lifetime of look-ups.
+	departurePeriod = 3200 * time.Millisecond
+	// exitMargin is kept of the grace period for the exit itself.
+	exitMargin = 400 * time.Millisecond
+	// failureLines bounds the lines a second about requests that failed.
+	failureLines = 200
+	// defaultHeaderTimeout and defaultIdleTimeout hold where the policy says none.
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+	defaultHeaderBytes   = 16 << 10
+)
+
+// Launcher runs one instance. Set the exported fields before Run.
+type Launcher struct {
+	Settings traffic.Settings
+	Store    traffic.Store
+	Codec    traffic.Codec
+	// ReadyPath and LookUpPath are where the platform and callers ask.
+	ReadyPath  string
+	LookUpPath string
+	Clock      clock.Clock
+	Logger     *slog.Logger
+	// Reload delivers new settings; it may be nil.
+	Reload <-chan traffic.Settings
+
+	registry  metrics.Registry
+	forwarder *forwarder.Forwarder
+	carrier   *carrier.Carrier
+	receiver  *receiver.Receiver
+	registrar *registrar.Registrar
+	frequent  *rate.Limiter
+	failures  *rate.Limiter
+}
+
+// Run serves until ctx ends and the shutdown is over.
+func (l *Launcher) Run(ctx context.Context) error {
+	l.build()
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	failed := make(chan error, 4)
+	if err := l.listenControl(failed); err != nil {
+		return err
+	}
+	l.follow(work)
+	go l.registrar.Run(work)
+	l.Logger.Info("started", "caller_address", l.Settings.CallerAddress, "incarnation", l.registrar.Instance.Incarnation)
+	front, err := l.listenWhenInformed(ctx, failed)
+	if err != nil || front == nil {
+		return err
+	}
+	l.Logger.Info("serving", "address", l.Settings.CallerAddress)
+	if err := l.loop(ctx, failed); err != nil {
+		return err
+	}
+	l.shutDown(front)
+	return nil
+}
+
+func (l *Launcher) build() {
+	s := l.Settings
+	self := traffic.Instance{
+		Name:        s.Instance,
+		Domain:      s.Domain,
+		Region:      s.Region,
+		Address:     s.CallerAddress,
+		Incarnation: strconv.FormatUint(rand.Uint64(), 36),
+	}
+	l.registry = metrics.NewRegistry()
+	l.frequent = rate.NewLimiter(rate.Limit(s.LogLines), max(s.LogLines, 1))
+	l.failures = rate.NewLimiter(failureLines, failureLines)
+	l.forwarder = &forwarder.Forwarder{
+		Codec:        l.Codec,
+		Clock:        l.Clock,
+		MaxBodyBytes: maxBodyBytes,
+		Opened:       func() { metrics.GetOrRegisterCounter("connections.opened", l.registry).Inc(1) },
+	}
+	l.registrar = &registrar.Registrar{Store: l.Store, Instance: self, Logger: l.Logger}
+	l.carrier = &carrier.Carrier{
+		Steerer:    &steerer.Steerer{Self: self, Settings: s},
+		Forwarder:  l.forwarder,
+		Clock:      l.Clock,
+		Record:     l.record,
+		Reannounce: l.registrar.Reannounce,
+	}
+	l.receiver = &receiver.Receiver{
+		Carrier:      l.carrier,
+		Codec:        l.Codec,
+		Clock:        l.Clock,
+		Registry:     l.registry,
+		MaxBodyBytes: maxBodyBytes,
+		Bodies:       semaphore.NewWeighted(max(s.MemoryMB<<20/bodiesPart, maxBodyBytes)),
+	}
+}
+
+// record writes a log line, within the bounds on lines about requests.
+func (l *Launcher) record(r traffic.Record) {
+	if r.Frequent && !l.frequent.Allow() {
+		metrics.GetOrRegisterCounter("log_lines.left_out", l.registry).Inc(1)
+		return
+	}
+	if r.Level >= slog.LevelWarn && !l.failures.Allow() {
+		metrics.GetOrRegisterCounter("log_lines.left_out", l.registry).Inc(1)
+		return
+	}
+	l.Logger.LogAttrs(context.Background(), r.Level, r.Message, r.Attributes...)
+}
+
+func (l *Launcher) follow(ctx context.Context) {
+	for _, f := range []*follower.Follower{
+		{Subject: traffic.Operators, Wait: operatorWait},
+		{Subject: traffic.Upstreams, Wait: upstreamWait, Pause: upstreamPause},
+		{Subject: traffic.Instances, Wait: instanceWait, Pause: upstreamPause},
+	} {
+		f.Store = l.Store
+		f.Do = l.carrier.Do
+		f.Logger = l.Logger
+		go f.Run(ctx)
+	}
+}
+
+// listenControl serves readiness, look-ups and metrics.
+func (l *Launcher) listenControl(failed chan<- error) error {
+	muxes := make(map[string]*http.ServeMux)
+	add := func(address, pattern string, handler http.Handler) {
+		if muxes[address] == nil {
+			muxes[address] = http.NewServeMux()
+		}
+		muxes[address].Handle(pattern, handler)
+	}
+	add(l.Settings.ReadyAddress, "GET "+l.ReadyPath, http.HandlerFunc(l.receiver.Ready))
+	add(l.Settings.LookUpAddress, "GET "+l.LookUpPath, http.HandlerFunc(l.receiver.LookUp))
+	add(l.Settings.MetricsAddress, "GET /metrics", &exposer.Exposer{Registry: l.registry, Prefix: "yuccathread_", Update: l.gauge})
+	for address, mux := range muxes {
+		server := &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+		if err := l.serve(address, server, failed); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Launcher) gauge() {
+	l.carrier.View(func(s *steerer.Steerer) {
+		metrics.GetOrRegisterGauge("in_flight", l.registry).Update(int64(s.InFlight()))
+		metrics.GetOrRegisterGauge("configuration_version", l.registry).Update(s.Version())
+	})
+}
+
+// listenWhenInformed opens the callers' address once requests can be served:
+// until then a caller's connection is refused, so that it goes elsewhere.
+func (l *Launcher) listenWhenInformed(ctx context.Context, failed chan error) (*http.Server, error) {
+	ticker := time.NewTicker(tickInterval / 5)
+	defer ticker.Stop()
+	for {
+		var limits traffic.Limits
+		informed := false
+		l.carrier.View(func(s *steerer.Steerer) { informed, limits = s.Informed(), s.Limits() })
+		if informed {
+			front := l.front(limits)
+			return front, l.serve(l.Settings.CallerAddress, front, failed)
+		}
+		select {
+		case <-ticker.C:
+		case err := <-failed:
+			return nil, err
+		case <-ctx.Done():
+			l.Logger.Info("stopped before serving")
+			return nil, nil
+		}
+	}
+}
+
+func (l *Launcher) front(limits traffic.Limits) *http.Server {
+	return &http.Server{
+		Handler:           http.HandlerFunc(l.receiver.Serve),
+		ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
+		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdleTimeout),
+		MaxHeaderBytes:    orDefault(limits.HeaderBytes, defaultHeaderBytes),
+		ErrorLog:          slog.NewLogLogger(l.Logger.Handler(), slog.LevelDebug),
+	}
+}
+
+func orDefault[T int | time.Duration](value, fallback T) T {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
+
+func (l *Launcher) serve(address string, server *http.Server, failed chan<- error) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("launcher: %w", err)
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- fmt.Errorf("launcher: %w", err)
+		}
+	}()
+	return nil
+}
+
+// loop ticks until the instance is told to stop.
+func (l *Launcher) loop(ctx context.Context, failed <-chan error) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ticker.C:
+			l.carrier.Do(traffic.Ticked{})
+			if n%sweepTicks == 0 {
+				l.forwarder.Sweep()
+			}
+		case s := <-l.Reload:
+			l.carrier.View(func(r *steerer.Steerer) { r.Settings = s })
+			l.Logger.Info("settings reloaded")
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// shutDown leaves gracefully: first look-ups stop naming this instance, then
+// new connections are refused, then the requests under way end.
+func (l *Launcher) shutDown(front *http.Server) {
+	started := l.Clock.Now()
+	l.receiver.Stopping.Store(true)
+	l.carrier.Do(traffic.StopRequested{})
+	l.registrar.Leave()
+	grace := l.Settings.Bounds.Grace.Duration
+	time.Sleep(min(departurePeriod, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-exitMargin))
+	defer cancel()
+	err := front.Shutdown(ctx)
+	cut := 0
+	l.carrier.View(func(s *steerer.Steerer) { cut = s.InFlight() })
+	l.registrar.Withdraw(ctx)
+	l.forwarder.Close()
+	if err != nil {
+		l.Logger.Warn("stopped", "cut_off", cut, "error", err.Error())
+		return
+	}
+	l.Logger.Info("stopped", "cut_off", cut)
+}
--- /dev/null
+++ b/internal/preparer/preparer.go
@@ -0,0 +1,132 @@
+// Package preparer loads and checks the settings of an instance on a managed
+// platform, from JSON with comments.
+//
+// Usage:
+//
+//	p := preparer.Preparer{File: "instance.jsonc"}
+//	s, err := p.Load()   // err is a *model.FindingsError with every finding
+package preparer
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/yuccathread/yuccathread/internal/decoder"
+	"github.com/yuccathread/yuccathread/internal/model"
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+// Preparer reads settings. Values that a file leaves out are the defaults.
+type Preparer struct {
+	File string
+}
+
+// Defaults returns the values of what a file may leave out.
+func (p *Preparer) Defaults() traffic.Settings {
+	return traffic.Settings{
+		MemoryMB: 256,
+		LogLevel: "info",
+		LogLines: 50,
+		Bounds: traffic.Bounds{
+			Drain:          seconds(2.5),
+			Grace:          seconds(6),
+			ReturnWait:     seconds(2),
+			RetryRatio:     0.2,
+			RetryWindow:    seconds(10),
+			RetrySlack:     20,
+			ColdFactor:     1.5,
+			ColdSlack:      5,
+			ShiftCap:       0.15,
+			ShiftWindow:    seconds(2),
+			LookUpLifetime: seconds(5),
+		},
+	}
+}
+
+func seconds(n float64) model.Duration {
+	return model.Duration{Duration: time.Duration(n * float64(time.Second))}
+}
+
+// Load reads and checks the file.
+func (p *Preparer) Load() (traffic.Settings, error) {
+	s := p.Defaults()
+	data, err := os.ReadFile(p.File)
+	if err != nil {
+		return s, fmt.Errorf("preparer: %w", err)
+	}
+	d := decoder.Decoder{File: p.File}
+	findings := d.Decode(data, &s)
+	if d.Filled() {
+		findings = append(findings, d.Locate(p.Check(s))...)
+	}
+	if len(findings) > 0 {
+		return s, &model.FindingsError{Findings: findings}
+	}
+	return s, nil
+}
+
+// Check returns everything that is wrong with settings.
+func (p *Preparer) Check(s traffic.Settings) []model.Finding {
+	var findings []model.Finding
+	add := func(bad bool, field, message string) {
+		if bad {
+			findings = append(findings, model.Finding{Field: field, Message: message})
+		}
+	}
+	add(s.Instance == "", "/instance", "must not be empty")
+	add(s.Domain == "", "/failure_domain", "must not be empty")
+	add(s.Region == "", "/region", "must not be empty")
+	for _, x := range []struct{ field, address string }{
+		{"/caller_address", s.CallerAddress},
+		{"/ready_address", s.ReadyAddress},
+		{"/look_up_address", s.LookUpAddress},
+		{"/metrics_address", s.MetricsAddress},
+		{"/store_address", s.StoreAddress},
+	} {
+		_, err := netip.ParseAddrPort(x.address)
+		add(err != nil, x.field, "must be an IP address and a port")
+	}
+	add(len(s.Domains) == 0, "/failure_domains", "must name a region for each failure domain")
+	add(s.MemoryMB < 1, "/memory_mb", "must be at least 1")
+	add(s.LogLines < 0, "/log_lines_per_second", "must not be negative")
+	var level slog.Level
+	add(level.UnmarshalText([]byte(s.LogLevel)) != nil, "/log_level", "must be debug, info, warn or error")
+	return append(findings, checkBounds(s.Bounds)...)
+}
+
+func checkBounds(b traffic.Bounds) []model.Finding {
+	var findings []model.Finding
+	for _, x := range []struct {
+		field string
+		value float64
+	}{
+		{"/bounds/drain", b.Drain.Seconds()},
+		{"/bounds/grace", b.Grace.Seconds()},
+		{"/bounds/retry_window", b.RetryWindow.Seconds()},
+		{"/bounds/shift_window", b.ShiftWindow.Seconds()},
+		{"/bounds/look_up_lifetime", b.LookUpLifetime.Seconds()},
+		{"/bounds/cold_factor", b.ColdFactor},
+	} {
+		if x.value <= 0 {
+			findings = append(findings, model.Finding{Field: x.field, Message: "must be above 0"})
+		}
+	}
+	for _, x := range []struct {
+		field string
+		value float64
+	}{
+		{"/bounds/return_wait", b.ReturnWait.Seconds()},
+		{"/bounds/retry_ratio", b.RetryRatio},
+		{"/bounds/retry_slack", b.RetrySlack},
+		{"/bounds/cold_slack", b.ColdSlack},
+		{"/bounds/shift_cap", b.ShiftCap},
+	} {
+		if x.value < 0 {
+			findings = append(findings, model.Finding{Field: x.field, Message: "must not be negative"})
+		}
+	}
+	return findings
+}
--- /dev/null
+++ b/internal/steerer/admission.go
@@ -0,0 +1,145 @@
+package steerer
+
+import (
+	"time"
+
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+const (
+	// answerMargin is kept for the way of the answer to the caller.
+	answerMargin = 20 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound what refused callers are told.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+	// startRetryAfter is told until the policy and the servers are known.
+	startRetryAfter = 300 * time.Millisecond
+)
+
+// call is a request without a final answer.
+type call struct {
+	number  uint64
+	request traffic.Request
+	route   *route
+	service string
+	read    time.Time
+	until   time.Time
+
+	attempt int
+	// arrivals counts the attempts that reached a server, runs those that ran
+	// or may have run.
+	arrivals int
+	runs     int
+	current  *upstream
+	sentAt   time.Time
+	expected time.Duration
+	known    bool
+	tried    map[string]bool
+	// unknown is set once an attempt's fate is unknown.
+	unknown bool
+	// last is the newest whole answer that was not good enough to deliver.
+	last *traffic.Reply
+	// abandoned calls have their answer; the server still works.
+	abandoned bool
+}
+
+func (s *Steerer) arrived(e traffic.Arrived) {
+	c := &call{number: e.Call, request: e.Request, read: e.Read}
+	if !s.Informed() {
+		s.refuse(c, traffic.NoPolicy, traffic.NotRun, startRetryAfter)
+		return
+	}
+	c.route = s.match(e.Request.Host, e.Request.Path)
+	if c.route == nil {
+		s.refuse(c, traffic.NoRoute, traffic.NotRun, 0)
+		return
+	}
+	c.until = finalTime(c)
+	c.tried = make(map[string]bool)
+	c.service = c.route.Shares[max(c.route.splitter.Next(c.route.weights), 0)].Service
+	s.calls[c.number] = c
+	s.service(c.service).budget.Deposit()
+	s.emit(traffic.Admit{Call: c.number, Until: c.until})
+	s.try(c)
+}
+
+// finalTime is when a call must have its final answer: the route's timeout or
+// the caller's own limit, whichever comes first.
+func finalTime(c *call) time.Time {
+	limit := c.route.Timeout
+	if own := c.request.Limit - answerMargin; c.request.Limit > 0 && (limit <= 0 || own < limit) {
+		limit = own
+	}
+	return c.read.Add(limit)
+}
+
+// try sends a call to the best server, or refuses it.
+func (s *Steerer) try(c *call) {
+	choice := s.place(c)
+	if choice.server == nil {
+		s.giveUp(c, choice.refusal, choice.retryAfter)
+		return
+	}
+	u := choice.server
+	c.attempt++
+	c.current = u
+	c.sentAt = s.now
+	c.expected = choice.expected
+	c.known = choice.known
+	c.tried[u.ID] = true
+	if s.cold(u) {
+		u.pacer.Take(s.now, s.coldShare(u))
+	}
+	u.inFlight++
+	u.objects.add(objectKey(c), s.now)
+	s.emit(traffic.Send{
+		Call:        c.number,
+		Attempt:     c.attempt,
+		Upstream:    u.Upstream,
+		Connections: s.connections(c.service),
+		Deadline:    c.until,
+		Idempotent:  c.route.Idempotent,
+	})
+}
+
+func objectKey(c *call) string {
+	if c.request.Object == "" {
+		return ""
+	}
+	return c.route.Name + "\x00" + c.request.Object
+}
+
+// connections is this instance's part of a server's connections.
+func (s *Steerer) connections(name string) int {
+	limit := s.policy.Services[name].MaxConnections
+	if limit <= 0 {
+		return 0
+	}
+	return max(1, limit/s.instances.size())
+}
+
+// giveUp answers a call for which there is nothing more to try: with the last
+// whole answer of a server if there is one, else with an answer of its own.
+func (s *Steerer) giveUp(c *call, reason traffic.Refusal, retryAfter time.Duration) {
+	delete(s.calls, c.number)
+	switch {
+	case c.last != nil && !c.last.NotRun:
+		s.deliver(c, *c.last)
+	case c.unknown:
+		s.refuse(c, traffic.Interrupted, traffic.Unknown, 0)
+	default:
+		left := c.until.Sub(s.now)
+		retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter, max(left/3, minRetryAfter))
+		s.refuse(c, reason, traffic.NotRun, retryAfter)
+	}
+}
+
+func (s *Steerer) refuse(c *call, reason traffic.Refusal, fate traffic.Fate, retryAfter time.Duration) {
+	s.emit(traffic.Answer{Call: c.number, Reason: reason, Fate: fate, RetryAfter: retryAfter})
+	s.recordRefusal(c, reason, fate, retryAfter)
+}
+
+func (s *Steerer) deliver(c *call, reply traffic.Reply) {
+	s.emit(traffic.Deliver{Call: c.number, Reply: reply})
+	s.recordDelivery(c, reply)
+}
--- /dev/null
+++ b/internal/steerer/record.go
@@ -0,0 +1,68 @@
+package steerer
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+func attr(key string, value any) slog.Attr {
+	if d, ok := value.(time.Duration); ok {
+		return slog.Float64(key+"_ms", float64(d.Microseconds())/float64(time.Millisecond/time.Microsecond))
+	}
+	return slog.Any(key, value)
+}
+
+// recordBelief logs a change of what this instance believes.
+func (s *Steerer) recordBelief(message string, attributes ...slog.Attr) {
+	s.emit(traffic.Record{Level: slog.LevelInfo, Message: message, Attributes: attributes})
+}
+
+func (s *Steerer) recordDelivery(c *call, reply traffic.Reply) {
+	s.emit(traffic.Record{
+		Level:      slog.LevelInfo,
+		Message:    "request answered",
+		Frequent:   reply.Status < 500,
+		Attributes: append(s.describe(c), attr("status", reply.Status)),
+	})
+}
+
+func (s *Steerer) recordRefusal(c *call, reason traffic.Refusal, fate traffic.Fate, retryAfter time.Duration) {
+	s.emit(traffic.Record{
+		Level:   slog.LevelWarn,
+		Message: "request refused",
+		Attributes: append(s.describe(c), attr("reason", string(reason)), attr("fate", string(fate)),
+			attr("retry_after", retryAfter)),
+	})
+}
+
+func (s *Steerer) recordLeft(c *call) {
+	s.emit(traffic.Record{Level: slog.LevelInfo, Message: "caller left", Frequent: true, Attributes: s.describe(c)})
+}
+
+// describe gives the inputs of the decisions about a call.
+func (s *Steerer) describe(c *call) []slog.Attr {
+	attributes := []slog.Attr{attr("request", c.request.ID), attr("call", c.number), attr("took", s.now.Sub(c.read))}
+	if s.policy != nil {
+		attributes = append(attributes, attr("version", s.policy.Version))
+	}
+	if c.route == nil {
+		return append(attributes, attr("host", c.request.Host), attr("path", c.request.Path))
+	}
+	attributes = append(attributes, attr("route", c.route.Name), attr("service", c.service),
+		attr("object", c.request.Object), attr("limit", c.until.Sub(c.read)), attr("attempts", c.attempt))
+	if c.attempt == 0 {
+		return attributes
+	}
+	return append(attributes, attr("tried", fmt.Sprint(tried(c))), attr("known", c.known), attr("expected", c.expected))
+}
+
+func tried(c *call) []string {
+	names := make([]string, 0, len(c.tried))
+	for name := range c.tried {
+		names = append(names, name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/traffic/boundary.go
@@ -0,0 +1,64 @@
+package traffic
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+)
+
+// Subject is one part of the store that an instance follows.
+type Subject string
+
+// Subjects.
+const (
+	Operators Subject = "operators"
+	Upstreams Subject = "upstreams"
+	Instances Subject = "instances"
+)
+
+// ErrHistoryLost means that the store cannot tell what happened since a
+// revision; read the subject in full.
+var ErrHistoryLost = errors.New("traffic: the store has dropped this history")
+
+// ErrLeaseEnded means that a lease is over and its records are gone.
+var ErrLeaseEnded = errors.New("traffic: the lease has ended")
+
+// News is what the store says about a subject.
+type News struct {
+	Events []Event
+	// Revision is where to go on.
+	Revision int64
+	// Rejected are records that could not be read, each with the reason.
+	Rejected []error
+}
+
+// Store is the platform's store.
+type Store interface {
+	// Read returns all of a subject; the last event lists what is there.
+	Read(ctx context.Context, subject Subject) (News, error)
+	// Follow waits for changes after a revision.
+	Follow(ctx context.Context, subject Subject, after int64, wait time.Duration) (News, error)
+	// Grant makes a lease of a length.
+	Grant(ctx context.Context, length time.Duration) (lease int64, err error)
+	// Renew starts the lease's length anew.
+	Renew(ctx context.Context, lease int64) error
+	// Announce writes an instance's record under a lease.
+	Announce(ctx context.Context, instance Instance, lease int64) error
+	// Withdraw ends the lease and removes what was written under it.
+	Withdraw(ctx context.Context, lease int64) error
+}
+
+// Codec translates requests and answers from and to the wire.
+type Codec interface {
+	// Request decodes all of a caller's request but its body.
+	Request(r *http.Request) Request
+	// Header returns the header of a request to one server.
+	Header(r Request, upstream Upstream, left time.Duration) http.Header
+	// Reply decodes all of a server's answer but its body.
+	Reply(r *http.Response) Reply
+	// Query decodes a look-up.
+	Query(r *http.Request) Query
+	// Named encodes the answer to a look-up.
+	Named(n Named) ([]byte, error)
+}
