Send an object's requests to two servers only

Ruled out: too little room.

Change: the first two servers of an object's order are its only candidates.

--- a/internal/steerer/placement.go
+++ b/internal/steerer/placement.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -23,6 +24,10 @@
 	faultPenalty = 3
 )
 
+// objectServers is the number of servers among which an object's requests are
+// spread: more would push each other's objects out of the servers' memory.
+const objectServers = 2
+
 // queueParts is the number of waiting requests that a rank accepts at a server,
 // in parts of its slots; less urgent ranks leave room for the others.
 var queueParts = [...]float64{1.5, 1.0, 0.6}
@@ -53,17 +58,20 @@
 	if len(found) == 0 {
 		return choice{refusal: traffic.NoServer, retryAfter: startRetryAfter}
 	}
-	first := slices.MinFunc(found, func(a, b candidate) int { return compare(a.score, b.score) })
+	if c.request.Object != "" && c.route.Sticky {
+		slices.SortFunc(found, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+		found = found[:min(len(found), objectServers)]
+	}
 	best := choice{refusal: traffic.Overloaded, retryAfter: maxRetryAfter}
 	bestCost := time.Duration(math.MaxInt64)
 	object := objectKey(c)
-	for _, x := range found {
+	for i, x := range found {
 		u := x.server
 		load := s.loadOf(u)
 		if load >= float64(u.Slots)*(1+queuePart(c.route.Rank)) {
 			continue
 		}
-		known := u == first.server || u.objects.knows(object, s.now)
+		known := i == 0 || u.objects.knows(object, s.now)
 		expected := s.expect(c, u, load, known && object != "")
 		cost := expected + time.Duration(s.faultOf(u)*faultPenalty*float64(c.route.Target))
 		if cost < bestCost {
@@ -77,13 +85,6 @@
 	return best
 }
 
-func compare(a, b float64) int {
-	if a < b {
-		return -1
-	}
-	return 1
-}
-
 func queuePart(rank int) float64 {
 	return queueParts[min(rank, len(queueParts)-1)]
 }
