Keep calls short while the store is away

Ruled out: a watch that lost its history; the log shows a call without answer.

Change: quiet calls end 0.9 s after the time that they may wait; after a first failure calls do not wait and end after 0.7 s, every second one after 1.5 s for a store that is slow.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -19,10 +19,17 @@
 )
 
 const (
-	// callTimeout bounds the store's answer beyond the time that it may wait.
-	callTimeout = 1500 * time.Millisecond
+	// callTimeout bounds a full read, and followTimeout the store's answer
+	// beyond the time that it may wait.
+	callTimeout   = 1500 * time.Millisecond
+	followTimeout = 900 * time.Millisecond
 	// retryDelay is the mean pause after a failed call.
 	retryDelay = 250 * time.Millisecond
+	// probeTimeout bounds calls while the store is away: one that hangs must
+	// not hide its return.
+	probeTimeout = 700 * time.Millisecond
+	// probeWait is the shortest wait that a call may ask for.
+	probeWait = time.Millisecond
 )
 
 // Follower follows one subject. Set the fields before Run.
@@ -39,6 +46,7 @@
 
 	revision int64
 	lost     bool
+	probes   int
 }
 
 // Run follows the subject until ctx ends.
@@ -65,14 +73,31 @@
 }
 
 func (f *Follower) next(ctx context.Context, known bool) (traffic.News, error) {
+	timeout, wait := callTimeout, f.Wait
+	if f.lost {
+		timeout, wait = f.probe(), probeWait
+	}
 	if !known {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		return f.Store.Read(ctx, f.Subject)
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+callTimeout)
+	if !f.lost {
+		timeout = followTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
-	return f.Store.Follow(ctx, f.Subject, f.revision, f.Wait)
+	return f.Store.Follow(ctx, f.Subject, f.revision, wait)
+}
+
+// probe alternates between a short timeout and the full one, which a slow store
+// may need.
+func (f *Follower) probe() time.Duration {
+	f.probes++
+	if f.probes%2 == 1 {
+		return probeTimeout
+	}
+	return callTimeout
 }
 
 func (f *Follower) take(news traffic.News) {
