Keep objects in their callers' region as far as it has room

Ruled out: keeping all at home. The smallest region has 9 to 12% of the slots and a third of the callers.

Change: each region keeps its callers' objects up to a load of 0.7 and hands the others on in proportion to the room elsewhere; worked out by every instance from the servers' records, with no messages.

--- a/internal/steerer/placement.go
+++ b/internal/steerer/placement.go
@@ -14,9 +14,6 @@
 const (
 	// regionDelay is the time of a request to another region and back.
 	regionDelay = 110 * time.Millisecond
-	// homeFactor is the extra weight of the own region's servers when objects
-	// are given their servers.
-	homeFactor = 1.5
 	// coldSlowness is how much longer cold servers take.
 	coldSlowness = 2
 	// faultPenalty is what a server that fails everything costs, in target
@@ -109,15 +106,13 @@
 // object's order.
 func (s *Steerer) eligible(c *call) []candidate {
 	v := s.service(c.service)
+	shares := s.regionShares(v)
 	found := make([]candidate, 0, len(v.servers))
 	for _, u := range v.servers {
 		if !s.usable(u) || c.tried[u.ID] || !allowedIn(c.route.Homes, u.region) {
 			continue
 		}
-		weight := float64(u.Slots)
-		if u.region == s.Self.Region {
-			weight *= homeFactor
-		}
+		weight := float64(u.Slots) * shares[u.region]
 		found = append(found, candidate{server: u, score: v.placer.Score(c.request.Object, u.ID, weight)})
 	}
 	return found
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -47,6 +47,8 @@
 	calls     map[uint64]*call
 	instances membership
 	stopping  time.Time
+	// regionNames is worked out from the settings once.
+	regionNames map[string]bool
 }
 
 // route is a route in force with what was learned about it. It outlives
