--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -17,7 +17,11 @@
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
-const readBufferBytes = 8 << 10
+const (
+	readBufferBytes = 8 << 10
+	// writeGrace is the time between an answer and the writer's return.
+	writeGrace = 10 * time.Millisecond
+)
 
 var (
 	errClosed   = errors.New("forwarder: the connection ended before the answer was whole")
@@ -47,10 +51,11 @@
 
 // exchange is the request that waits for its answer on a connection.
 type exchange struct {
-	id      string
-	method  string
-	written bool
-	done    chan result
+	id     string
+	method string
+	done   chan result
+	// written is closed once the whole request has been written.
+	written chan struct{}
 }
 
 type result struct {
@@ -86,7 +91,7 @@
 
 // exchange writes a request and waits for its answer.
 func (c *connection) exchange(ctx context.Context, request traffic.Request, header http.Header, left time.Duration) (traffic.Reply, error) {
-	x := &exchange{id: request.ID, method: request.Method, done: make(chan result, 1)}
+	x := &exchange{id: request.ID, method: request.Method, done: make(chan result, 1), written: make(chan struct{})}
 	c.mutex.Lock()
 	c.current = x
 	c.mutex.Unlock()
@@ -96,6 +101,7 @@
 	go c.write(x, encode(request, header), left)
 	select {
 	case r := <-x.done:
+		c.awaitWritten(x)
 		return r.reply, r.err
 	case <-timer.C:
 		return traffic.Reply{}, context.DeadlineExceeded
@@ -107,9 +113,6 @@
 func (c *connection) finish() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.current != nil && !c.current.written {
-		c.soiled = true
-	}
 	c.current = nil
 }
 
@@ -118,11 +121,24 @@
 	if err == nil {
 		_, err = c.raw.Write(content)
 	}
-	c.mutex.Lock()
-	x.written = err == nil
-	c.mutex.Unlock()
 	if err != nil {
 		x.end(result{err: fmt.Errorf("forwarder: %w", err)})
+		return
+	}
+	close(x.written)
+}
+
+// awaitWritten gives the writer a moment to return. A connection whose server
+// has answered before it has read the whole request is not used again.
+func (c *connection) awaitWritten(x *exchange) {
+	timer := time.NewTimer(writeGrace)
+	defer timer.Stop()
+	select {
+	case <-x.written:
+	case <-timer.C:
+		c.mutex.Lock()
+		c.soiled = true
+		c.mutex.Unlock()
 	}
 }
 
--- /dev/null
+++ b/internal/forwarder/forwarder_test.go
@@ -0,0 +1,279 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yuccathread/yuccathread/internal/clock"
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+// fakeCodec uses headers of the test's own.
+type fakeCodec struct{ traffic.Codec }
+
+func (fakeCodec) Header(r traffic.Request, u traffic.Upstream, left time.Duration) http.Header {
+	return http.Header{"X-Id": {r.ID}, "X-Server": {u.ID}, "X-Left": {fmt.Sprint(left.Milliseconds())}}
+}
+
+func (fakeCodec) Reply(r *http.Response) traffic.Reply {
+	return traffic.Reply{
+		Status: r.StatusCode, Header: r.Header, Echo: r.Header.Get("X-Id"),
+		NotRun: r.Header.Get("X-Not-Run") != "", Leaving: r.Close,
+	}
+}
+
+// script answers the n-th request of a connection, counted from 1; it returns
+// false to close the connection.
+type script func(conn net.Conn, request *http.Request, n int) bool
+
+type fakeServer struct {
+	address     string
+	connections atomic.Int64
+	requests    atomic.Int64
+}
+
+func serve(t *testing.T, answer script) *fakeServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	s := &fakeServer{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.connections.Add(1)
+			go s.talk(conn, answer)
+		}
+	}()
+	return s
+}
+
+func (s *fakeServer) talk(conn net.Conn, answer script) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for n := 1; ; n++ {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body := make([]byte, request.ContentLength)
+		if _, err := reader.Read(body); err != nil && len(body) > 0 {
+			return
+		}
+		s.requests.Add(1)
+		if !answer(conn, request, n) {
+			return
+		}
+	}
+}
+
+func say(conn net.Conn, id, body string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func newForwarder(t *testing.T) *Forwarder {
+	t.Helper()
+	f := &Forwarder{Codec: fakeCodec{}, Clock: clock.System(), MaxBodyBytes: 1 << 16}
+	t.Cleanup(f.Close)
+	return f
+}
+
+func send(f *Forwarder, s *fakeServer, id string, idempotent bool) traffic.Outcome {
+	return f.Exchange(context.Background(),
+		traffic.Request{ID: id, Method: "PUT", Host: "shop.example", Target: "/a%2Fb?q=1", Body: []byte("abc")},
+		traffic.Send{
+			Upstream: traffic.Upstream{ID: "s1", Address: s.address}, Deadline: time.Now().Add(500 * time.Millisecond),
+			Connections: 4, Idempotent: idempotent,
+		})
+}
+
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer script
+		fate   traffic.Fate
+		body   string
+	}{
+		{"whole", func(conn net.Conn, r *http.Request, _ int) bool { say(conn, r.Header.Get("X-Id"), "ok"); return true }, traffic.Ran, "ok"},
+		{"chunked", func(conn net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", r.Header.Get("X-Id"))
+			return true
+		}, traffic.Ran, "ok"},
+		{"chunked, cut", func(conn net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", r.Header.Get("X-Id"))
+			return false
+		}, traffic.Unknown, ""},
+		{"cut", func(conn net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 9\r\n\r\nok", r.Header.Get("X-Id"))
+			return false
+		}, traffic.Unknown, ""},
+		{"no length", func(conn net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r\nok", r.Header.Get("X-Id"))
+			return false
+		}, traffic.Ran, "ok"},
+		{"no length, reset", func(conn net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n\r\nok", r.Header.Get("X-Id"))
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return false
+		}, traffic.Unknown, ""},
+		{"garbage", func(conn net.Conn, _ *http.Request, _ int) bool {
+			fmt.Fprint(conn, "\x00\x01 what\r\n\r\n")
+			return true
+		}, traffic.Unknown, ""},
+		{"another request's answer first", func(conn net.Conn, r *http.Request, _ int) bool {
+			say(conn, "other", "wrong")
+			say(conn, r.Header.Get("X-Id"), "ok")
+			return true
+		}, traffic.Ran, "ok"},
+		{"only another request's answer", func(conn net.Conn, _ *http.Request, _ int) bool {
+			say(conn, "other", "wrong")
+			return true
+		}, traffic.Unknown, ""},
+		{"no request named", func(conn net.Conn, _ *http.Request, _ int) bool {
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			return true
+		}, traffic.Unknown, ""},
+		{"interim answer first", func(conn net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprint(conn, "HTTP/1.1 103 Early Hints\r\n\r\n")
+			say(conn, r.Header.Get("X-Id"), "ok")
+			return true
+		}, traffic.Ran, "ok"},
+		{"declared not run", func(conn net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 503 Full\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", r.Header.Get("X-Id"))
+			return true
+		}, traffic.NotRun, ""},
+		{"closed", func(net.Conn, *http.Request, int) bool { return false }, traffic.Unknown, ""},
+		{"silent", func(net.Conn, *http.Request, int) bool { time.Sleep(time.Second); return false }, traffic.Unknown, ""},
+		{"too large", func(conn net.Conn, r *http.Request, _ int) bool {
+			say(conn, r.Header.Get("X-Id"), strings.Repeat("x", 1<<17))
+			return true
+		}, traffic.Unknown, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := serve(t, c.answer)
+			o := send(newForwarder(t), s, "id-1", false)
+			assert.Equal(t, o.Fate, c.fate, "%v", o.Err)
+			assert.Equal(t, string(o.Reply.Body), c.body)
+			assert.Equal(t, s.requests.Load(), int64(1), "the request was written more than once")
+		})
+	}
+}
+
+func TestRequestIsUnchanged(t *testing.T) {
+	got := make(chan *http.Request, 1)
+	s := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		got <- r
+		say(conn, r.Header.Get("X-Id"), "")
+		return true
+	})
+	send(newForwarder(t), s, "id-1", false)
+	r := <-got
+	assert.Equal(t, r.Method, "PUT")
+	assert.Equal(t, r.RequestURI, "/a%2Fb?q=1")
+	assert.Equal(t, r.Host, "shop.example")
+	assert.Equal(t, r.Header.Get("X-Server"), "s1")
+	assert.Equal(t, r.ContentLength, int64(3))
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *http.Request, _ int) bool { say(conn, r.Header.Get("X-Id"), ""); return true })
+	f := newForwarder(t)
+	for i := range 20 {
+		assert.Equal(t, send(f, s, fmt.Sprint(i), true).Fate, traffic.Ran)
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, s.connections.Load(), int64(1))
+}
+
+// An answer that arrives late on a kept connection belongs to nobody.
+func TestLateExtraAnswerReachesNobody(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		say(conn, r.Header.Get("X-Id"), "own")
+		time.Sleep(20 * time.Millisecond)
+		say(conn, r.Header.Get("X-Id"), "extra")
+		return true
+	})
+	f := newForwarder(t)
+	for i := range 5 {
+		o := send(f, s, fmt.Sprint(i), true)
+		assert.Equal(t, o.Fate, traffic.Ran)
+		assert.Equal(t, string(o.Reply.Body), "own")
+		time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+	}
+}
+
+// A connection that the server has closed while idle is not written to.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		say(conn, r.Header.Get("X-Id"), "")
+		time.Sleep(10 * time.Millisecond)
+		return false
+	})
+	f := newForwarder(t)
+	for i := range 5 {
+		assert.Equal(t, send(f, s, fmt.Sprint(i), false).Fate, traffic.Ran)
+		time.Sleep(40 * time.Millisecond)
+	}
+	assert.Equal(t, s.connections.Load(), int64(5))
+}
+
+func TestUnreachableServerHasNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	listener.Close()
+	o := send(newForwarder(t), &fakeServer{address: address}, "1", false)
+	assert.Equal(t, o.Fate, traffic.NotRun)
+	assert.Assert(t, o.Unreachable)
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	s := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		time.Sleep(100 * time.Millisecond)
+		say(conn, r.Header.Get("X-Id"), "")
+		return true
+	})
+	f := newForwarder(t)
+	fates := make(chan traffic.Outcome, 10)
+	for i := range 10 {
+		go func() { fates <- send(f, s, fmt.Sprint(i), true) }()
+	}
+	counts := make(map[traffic.Fate]int)
+	for range 10 {
+		o := <-fates
+		assert.Assert(t, !o.Unreachable)
+		counts[o.Fate]++
+	}
+	assert.Equal(t, counts[traffic.Ran], 4)
+	assert.Equal(t, counts[traffic.NotRun], 6)
+	assert.Equal(t, s.connections.Load(), int64(4))
+}
+
+// The connection of a caller that has gone is closed, so that the server stops.
+func TestCutOffClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	s := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		_, _ = conn.Read(make([]byte, 1))
+		close(closed)
+		return false
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	o := newForwarder(t).Exchange(ctx, traffic.Request{ID: "1", Method: "GET", Target: "/"},
+		traffic.Send{Upstream: traffic.Upstream{ID: "s1", Address: s.address}, Deadline: time.Now().Add(time.Minute)})
+	assert.Equal(t, o.Fate, traffic.Unknown)
+	<-closed
+}
--- /dev/null
+++ b/internal/steerer/steerer_test.go
@@ -0,0 +1,355 @@
+package steerer
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+var errReset = errors.New("reset")
+
+func TestUnknownFateOfOnceOnlyWork(t *testing.T) {
+	b := informed(t, server("s1", "a1"), server("s2", "a2"))
+	_, effects := b.ask("/order/1", "7")
+	effects = b.end(b.mustSend(effects), traffic.Outcome{Fate: traffic.Unknown, Err: errReset})
+	_, again := find[traffic.Send](effects)
+	assert.Assert(t, !again, "work that may have run was sent again")
+	answer := b.mustAnswer(effects)
+	assert.Equal(t, answer.Fate, traffic.Unknown)
+	assert.Equal(t, answer.RetryAfter, time.Duration(0))
+}
+
+func TestNotRunAfterUnknownIsNotToldAsNotRun(t *testing.T) {
+	b := informed(t, server("s1", "a1"), server("s2", "a2"))
+	_, effects := b.ask("/look/1", "7")
+	effects = b.end(b.mustSend(effects), traffic.Outcome{Fate: traffic.Unknown, Err: errReset})
+	effects = b.end(b.mustSend(effects), shed())
+	assert.Equal(t, b.mustAnswer(effects).Fate, traffic.Unknown)
+}
+
+func TestIdempotentWorkGoesElsewhere(t *testing.T) {
+	b := informed(t, server("s1", "a1"), server("s2", "a2"))
+	_, effects := b.ask("/look/1", "7")
+	first := b.mustSend(effects)
+	second := b.mustSend(b.end(first, traffic.Outcome{Fate: traffic.Unknown, Err: errReset}))
+	assert.Assert(t, first.Upstream.ID != second.Upstream.ID)
+	delivered, ok := find[traffic.Deliver](b.end(second, good()))
+	assert.Assert(t, ok)
+	assert.Equal(t, delivered.Reply.Status, 200)
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	b := informed(t, server("s1", "a1"), server("s2", "a2"), server("s3", "b1"), server("s4", "b2"))
+	_, effects := b.ask("/look/1", "7")
+	sends := 0
+	for {
+		send, ok := find[traffic.Send](effects)
+		if !ok {
+			break
+		}
+		sends++
+		effects = b.end(send, traffic.Outcome{Fate: traffic.Unknown, Err: errReset})
+	}
+	assert.Equal(t, sends, 2)
+}
+
+// Every instance keeps its own part of the shared budget of repeats.
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	var servers []traffic.Upstream
+	for i := range 20 {
+		servers = append(servers, server(fmt.Sprintf("s%d", i), "a1"))
+	}
+	b := informed(t, servers...)
+	for i := range 9 {
+		b.do(traffic.InstanceSeen{Instance: traffic.Instance{Name: fmt.Sprintf("other-%d", i), Region: "a"}})
+	}
+	const requests = 400
+	repeats := 0
+	for i := range requests {
+		_, effects := b.after(10*time.Millisecond).ask("/look/1", fmt.Sprint(i))
+		for {
+			send, ok := find[traffic.Send](effects)
+			if !ok {
+				break
+			}
+			if send.Attempt > 1 {
+				repeats++
+			}
+			effects = b.end(send, shed())
+		}
+	}
+	bound := int(0.2*requests + 50.0/10)
+	assert.Assert(t, repeats <= bound, "%d repeats of at most %d", repeats, bound)
+	assert.Assert(t, repeats > requests/10, "only %d repeats", repeats)
+}
+
+func TestFinalTimeIsTheEarlierOne(t *testing.T) {
+	b := informed(t, server("s1", "a1"))
+	_, effects := b.ask("/look/1", "7")
+	admit, ok := find[traffic.Admit](effects)
+	assert.Assert(t, ok)
+	assert.Equal(t, admit.Until.Sub(b.now), 2*time.Second)
+	assert.Equal(t, b.mustSend(effects).Deadline, admit.Until)
+	number := admit.Call
+	effects = b.after(2 * time.Second).do(traffic.Expired{Call: number})
+	assert.Equal(t, b.mustAnswer(effects).Fate, traffic.Unknown)
+	_, cancelled := find[traffic.Cancel](effects)
+	assert.Assert(t, cancelled)
+}
+
+func TestRoutes(t *testing.T) {
+	b := informed(t, server("s1", "a1"))
+	assert.Equal(t, b.match("shop.example", "/look/x").Name, "look")
+	assert.Equal(t, b.match("SHOP.example", "/lookout").Name, "all")
+	assert.Assert(t, b.match("other.example", "/look/x") == nil)
+	b.last++
+	effects := b.do(traffic.Arrived{Call: b.last, Read: b.now, Request: traffic.Request{Host: "other.example", Path: "/"}})
+	assert.Equal(t, b.mustAnswer(effects).Reason, traffic.NoRoute)
+}
+
+func TestWithoutAPolicyNothingIsDenied(t *testing.T) {
+	b := newBench(t, "front-1", "a1")
+	_, effects := b.ask("/look/1", "7")
+	answer := b.mustAnswer(effects)
+	assert.Equal(t, answer.Reason, traffic.NoPolicy)
+	assert.Equal(t, answer.Fate, traffic.NotRun)
+	assert.Assert(t, !b.Ready())
+}
+
+func TestOlderPolicyIsNeverTakenBack(t *testing.T) {
+	b := informed(t, server("s1", "a1"))
+	b.do(traffic.PolicySeen{Policy: policy(9)})
+	b.do(traffic.PolicySeen{Policy: policy(4)})
+	assert.Equal(t, b.Version(), int64(9))
+}
+
+func TestDrainingServerGetsNothingNew(t *testing.T) {
+	b := informed(t, server("s1", "a1"), server("s2", "a2"))
+	draining := server("s1", "a1")
+	draining.Draining = true
+	draining.Revision = 2
+	b.do(traffic.UpstreamSeen{Upstream: draining})
+	for i := range 30 {
+		_, effects := b.ask("/look/1", fmt.Sprint(i))
+		assert.Equal(t, b.end(b.mustSend(effects), good()) != nil, true)
+		assert.Equal(t, b.mustSend(effects).Upstream.ID, "s2")
+	}
+}
+
+func TestRemovedRecord(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		events  []traffic.Event
+		present time.Duration
+	}{
+		{"store steady", nil, 0},
+		{"store back for 1 s", []traffic.Event{
+			traffic.StoreLost{Subject: traffic.Upstreams, Err: errReset},
+			traffic.StoreRegained{Subject: traffic.Upstreams},
+		}, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := informed(t, server("s1", "a1"), server("s2", "a2"))
+			for _, e := range c.events {
+				b.do(e)
+			}
+			b.after(time.Second).do(traffic.UpstreamGone{ID: "s1"})
+			_, there := b.upstreams["s1"]
+			assert.Equal(t, there, c.present > 0)
+			b.after(c.present + 10*time.Millisecond).do(traffic.Ticked{})
+			_, there = b.upstreams["s1"]
+			assert.Assert(t, !there)
+		})
+	}
+}
+
+func TestServerBackAfterTheStoreIsKept(t *testing.T) {
+	b := informed(t, server("s1", "a1"))
+	b.do(traffic.StoreLost{Subject: traffic.Upstreams, Err: errReset})
+	b.after(5 * time.Second).do(traffic.StoreRegained{Subject: traffic.Upstreams})
+	b.do(traffic.UpstreamsListed{IDs: map[string]bool{}})
+	_, effects := b.ask("/look/1", "7")
+	b.mustSend(effects)
+	back := server("s1", "a1")
+	back.Revision = 7
+	b.after(time.Second).do(traffic.UpstreamSeen{Upstream: back})
+	b.after(5 * time.Second).do(traffic.Ticked{})
+	assert.Equal(t, len(b.upstreams), 1)
+}
+
+func TestEvacuatedDomainGetsNothing(t *testing.T) {
+	b := informed(t, server("s1", "a1"), server("s2", "a2"))
+	b.do(traffic.EvacuationSeen{Domain: "a1"})
+	for i := range 20 {
+		_, effects := b.ask("/look/1", fmt.Sprint(i))
+		send := b.mustSend(effects)
+		assert.Equal(t, send.Upstream.ID, "s2")
+		b.end(send, good())
+	}
+}
+
+// What all instances together send to a cold server in one second stays
+// within the bound, also when all of them want it.
+func TestColdServerIsShared(t *testing.T) {
+	for _, instances := range []int{1, 9, 71} {
+		t.Run(fmt.Sprint(instances), func(t *testing.T) {
+			sent := 0
+			for i := range instances {
+				b := newBench(t, fmt.Sprintf("front-%d", i), "a1")
+				cold := server("s1", "a1")
+				cold.Cold = 3 * time.Second
+				b.do(traffic.PolicySeen{Policy: policy(1)})
+				b.do(traffic.UpstreamSeen{Upstream: cold})
+				b.do(traffic.UpstreamsListed{IDs: map[string]bool{"s1": true}})
+				for j := range instances {
+					b.do(traffic.InstanceSeen{Instance: traffic.Instance{Name: fmt.Sprintf("front-%d", j)}})
+				}
+				for k := range 50 {
+					_, effects := b.after(10*time.Millisecond).ask("/look/1", fmt.Sprint(k))
+					if send, ok := find[traffic.Send](effects); ok {
+						sent++
+						b.end(send, good())
+					}
+				}
+			}
+			const bound = 18
+			assert.Assert(t, sent <= bound, "%d requests", sent)
+			assert.Assert(t, sent >= bound/2, "only %d requests", sent)
+		})
+	}
+}
+
+func TestServersAreColdWhenAnEvacuationEnds(t *testing.T) {
+	b := informed(t, server("s1", "a1"))
+	b.do(traffic.EvacuationSeen{Domain: "a1"})
+	b.after(time.Second).do(traffic.EvacuationGone{Domain: "a1"})
+	sent := 0
+	for i := range 50 {
+		_, effects := b.ask("/look/1", fmt.Sprint(i))
+		if send, ok := find[traffic.Send](effects); ok {
+			sent++
+			b.end(send, good())
+		}
+	}
+	assert.Assert(t, sent <= 18, "%d requests at once", sent)
+}
+
+func TestHomesBind(t *testing.T) {
+	b := informed(t, server("s1", "a1"), server("s2", "b1"))
+	p := policy(2)
+	p.Routes[0].Homes = []string{"b"}
+	b.do(traffic.PolicySeen{Policy: p})
+	for i := range 20 {
+		_, effects := b.ask("/look/1", fmt.Sprint(i))
+		send := b.mustSend(effects)
+		assert.Equal(t, send.Upstream.ID, "s2")
+		b.end(send, good())
+	}
+}
+
+func TestCallerLeft(t *testing.T) {
+	b := informed(t, server("s1", "a1"))
+	number, _ := b.ask("/look/1", "7")
+	_, cancelled := find[traffic.Cancel](b.do(traffic.Left{Call: number}))
+	assert.Assert(t, cancelled)
+	number, effects := b.ask("/order/1", "7")
+	send := b.mustSend(effects)
+	_, cancelled = find[traffic.Cancel](b.do(traffic.Left{Call: number}))
+	assert.Assert(t, !cancelled, "once-only work was cut off")
+	effects = b.end(send, good())
+	_, delivered := find[traffic.Deliver](effects)
+	assert.Assert(t, !delivered)
+}
+
+func TestReusedAddress(t *testing.T) {
+	b := informed(t, server("s1", "a1"), server("s2", "a2"))
+	_, effects := b.ask("/order/1", "7")
+	first := b.mustSend(effects)
+	misdirected := traffic.Outcome{Fate: traffic.NotRun, Reply: traffic.Reply{Status: 421, NotRun: true, Misdirected: true}}
+	second := b.mustSend(b.end(first, misdirected))
+	assert.Assert(t, first.Upstream.ID != second.Upstream.ID)
+	b.end(second, good())
+	for i := range 10 {
+		_, effects = b.ask("/look/1", fmt.Sprint(i))
+		send := b.mustSend(effects)
+		assert.Equal(t, send.Upstream.ID, second.Upstream.ID)
+		b.end(send, good())
+	}
+}
+
+func TestUnsignedSuccessIsNoSuccess(t *testing.T) {
+	b := informed(t, server("s1", "a1"))
+	_, effects := b.ask("/order/1", "7")
+	o := good()
+	o.Reply.Signed = false
+	assert.Equal(t, b.mustAnswer(b.end(b.mustSend(effects), o)).Fate, traffic.Unknown)
+}
+
+func TestSplitFollowsItsWeights(t *testing.T) {
+	other := server("t1", "a1")
+	other.Service = "depot"
+	b := informed(t, server("s1", "a1"), other)
+	p := policy(2)
+	p.Routes[0].Shares = []traffic.Share{{Service: "stock", Weight: 90}, {Service: "depot", Weight: 10}}
+	p.Services["depot"] = traffic.Service{Name: "depot"}
+	b.do(traffic.PolicySeen{Policy: p})
+	counts := make(map[string]int)
+	for i := range 200 {
+		_, effects := b.ask("/look/1", fmt.Sprint(i))
+		send := b.mustSend(effects)
+		counts[send.Upstream.Service]++
+		b.end(send, good())
+	}
+	assert.Equal(t, counts["depot"], 20)
+}
+
+func TestLookUps(t *testing.T) {
+	b := informed(t, server("s1", "a1"))
+	near := traffic.Instance{Name: "front-2", Domain: "a2", Region: "a", Address: "front-2:80"}
+	b.do(traffic.InstanceSeen{Instance: near})
+	b.do(traffic.InstanceSeen{Instance: traffic.Instance{Name: "front-3", Region: "b", Address: "front-3:80"}})
+	look := func(region string) []string {
+		named, ok := find[traffic.Named](b.do(traffic.LookedUp{Query: traffic.Query{Region: region}}))
+		assert.Assert(t, ok)
+		return named.Addresses
+	}
+	assert.DeepEqual(t, look("a"), []string{"front-1:80", "front-2:80"})
+	assert.DeepEqual(t, look("b"), []string{"front-3:80"})
+	assert.Equal(t, len(look("c")), 3)
+	near.Leaving = true
+	b.do(traffic.InstanceSeen{Instance: near})
+	assert.DeepEqual(t, look("a"), []string{"front-1:80"})
+	b.do(traffic.InstanceGone{Name: "front-3"})
+	assert.DeepEqual(t, look("b"), []string{"front-1:80"})
+	b.do(traffic.StopRequested{})
+	assert.Assert(t, !b.Ready())
+}
+
+func TestMissingOwnRecordIsWrittenAnew(t *testing.T) {
+	b := informed(t, server("s1", "a1"))
+	_, ok := find[traffic.Reannounce](b.do(traffic.InstanceGone{Name: b.Self.Name}))
+	assert.Assert(t, ok)
+	_, ok = find[traffic.Reannounce](b.do(traffic.InstancesListed{Names: map[string]bool{}}))
+	assert.Assert(t, ok)
+}
+
+// Shares are divided by the largest number of instances seen lately, since
+// records of running instances may be missing.
+func TestSharesOutlastLostRecords(t *testing.T) {
+	b := informed(t, server("s1", "a1"))
+	for i := range 9 {
+		b.do(traffic.InstanceSeen{Instance: traffic.Instance{Name: fmt.Sprintf("other-%d", i)}})
+	}
+	for i := range 9 {
+		b.do(traffic.InstanceGone{Name: fmt.Sprintf("other-%d", i)})
+	}
+	b.after(5 * time.Second).do(traffic.Ticked{})
+	assert.Equal(t, b.instances.size(), 10)
+	b.after(sizeMemory + time.Second).do(traffic.Ticked{})
+	assert.Equal(t, b.instances.size(), 1)
+}
