--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -44,8 +44,9 @@
 	Wait time.Duration
 	// Pause is the time between two calls, in which changes gather.
 	Pause time.Duration
-	// Suspect, if set, is called when a call has failed, so that the calls of
-	// other followers that wait on the same store are made anew.
+	// Suspect, if set, is called when a call has failed or found its history
+	// dropped, so that the calls of other followers that wait on the same store
+	// are made anew.
 	Suspect func()
 
 	revision int64
@@ -94,6 +95,7 @@
 		case errors.Is(err, traffic.ErrHistoryLost):
 			f.Logger.Info("store history dropped", "subject", string(f.Subject), "revision", f.revision)
 			known = false
+			f.suspect()
 			continue
 		case err != nil:
 			f.fail(err)
@@ -163,6 +165,10 @@
 	f.lost = true
 	f.checks = false
 	f.Do(traffic.StoreLost{Subject: f.Subject, Err: err})
+	f.suspect()
+}
+
+func (f *Follower) suspect() {
 	if f.Suspect != nil {
 		f.Suspect()
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -155,3 +155,17 @@
 		assert.Assert(t, late < 2*time.Second, "found %v after its return", late)
 	})
 }
+
+// A store that drops its history may leave a waiting call without an answer:
+// what one follower finds, the others look for at once.
+func TestDroppedHistoryIsShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		renewed := 0
+		f := &Follower{Store: &fakeStore{dropped: true}, Subject: traffic.Upstreams, Logger: slog.New(slog.DiscardHandler),
+			Wait: time.Second, Do: func(traffic.Event) {}, Suspect: func() { renewed++ }}
+		f.Run(ctx)
+		assert.Equal(t, renewed, 1)
+	})
+}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -106,6 +106,7 @@
 	if err != nil || front == nil {
 		return err
 	}
+	l.carrier.Do(traffic.ServingStarted{})
 	l.Logger.Info("serving", "address", l.Settings.CallerAddress)
 	if err := l.loop(ctx, failed); err != nil {
 		return err
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -46,6 +46,7 @@
 	cooling   map[string]time.Time
 	calls     map[uint64]*call
 	instances membership
+	serving   bool
 	stopping  time.Time
 	// regionNames is worked out from the settings once.
 	regionNames map[string]bool
@@ -98,6 +99,8 @@
 		s.lookedUp(e.Query)
 	case traffic.Ticked:
 		s.tick()
+	case traffic.ServingStarted:
+		s.serving = true
 	case traffic.StopRequested:
 		s.stopRequested()
 	default:
@@ -141,10 +144,10 @@
 	s.instances.forget(s.now)
 }
 
-// Ready reports whether requests can be served: the policy and the servers
-// are known and no stop was requested.
+// Ready reports whether callers may come: the policy and the servers are
+// known, the callers' address is open and no stop was requested.
 func (s *Steerer) Ready() bool {
-	return s.Informed() && s.stopping.IsZero()
+	return s.Informed() && s.serving && s.stopping.IsZero()
 }
 
 // Informed reports whether the policy and the servers are known.
--- a/internal/steerer/world_test.go
+++ b/internal/steerer/world_test.go
@@ -83,6 +83,7 @@
 	b.do(traffic.InstanceSeen{Instance: b.Self})
 	b.do(traffic.InstancesListed{Names: map[string]bool{b.Self.Name: true}})
 	b.do(traffic.EvacuationsListed{})
+	b.do(traffic.ServingStarted{})
 	return b
 }
 
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -74,6 +74,9 @@
 // StoreRegained says that the store answers again.
 type StoreRegained struct{ Subject Subject }
 
+// ServingStarted says that the callers' address is open.
+type ServingStarted struct{}
+
 // StopRequested starts a graceful shutdown.
 type StopRequested struct{}
 
@@ -97,5 +100,6 @@
 func (InstancesListed) event()   {}
 func (StoreLost) event()         {}
 func (StoreRegained) event()     {}
+func (ServingStarted) event()    {}
 func (StopRequested) event()     {}
 func (LookedUp) event()          {}
