Keep connections longer, ask the store less often

Change: idle connections are used for up to 8.5 s, three quarters of that for work that must not run twice; where one is found ended, for half the pause that it did not outlast, growing again over 20 s (TestForgottenIdleConnections).

--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	readBufferBytes = 8 << 10
+	readBufferBytes = 4 << 10
 	// writeGrace is the time between an answer and the writer's return.
 	writeGrace = 10 * time.Millisecond
 )
@@ -74,6 +74,14 @@
 	return !c.dead.Load() && now.Sub(c.idleSince) < limit
 }
 
+// idle is the time since the last exchange; zero for a new connection.
+func (c *connection) idle(now time.Time) time.Duration {
+	if c.idleSince.IsZero() {
+		return 0
+	}
+	return now.Sub(c.idleSince)
+}
+
 func (c *connection) reusable(reply traffic.Reply) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -15,11 +15,17 @@
 const (
 	// connectTimeout is four times the delay between regions.
 	connectTimeout = 450 * time.Millisecond
-	// idleLimit is below the time after which servers close idle connections.
-	idleLimit = 6 * time.Second
-	// idleLimitOnce applies to requests that must not run twice: a connection
-	// that the server closes at the same moment would leave their fate unknown.
-	idleLimitOnce = 3 * time.Second
+	// idleLimit bounds the age of idle connections where servers do not say how
+	// long they keep them.
+	idleLimit = 8500 * time.Millisecond
+	// oncePercent of the limit applies to requests that must not run twice: a
+	// connection that has ended unseen leaves their fate unknown.
+	oncePercent = 75
+	// idleRecovery is how long it takes until connections are again kept for
+	// the full time after some were found ended.
+	idleRecovery = 20 * time.Second
+	// minIdle is the shortest pause that is taken for the cause of an end.
+	minIdle = 300 * time.Millisecond
 	// idleMargin is taken off the time that a server says it keeps connections.
 	idleMargin = time.Second
 )
@@ -41,6 +47,9 @@
 
 	mutex   sync.Mutex
 	servers map[string]*server
+	// learned is the idle time after which a connection was found ended.
+	learned   time.Duration
+	learnedAt time.Time
 }
 
 // server is the set of connections to one server, the last used one last.
@@ -69,9 +78,13 @@
 		f.put(c)
 		return traffic.Outcome{Fate: traffic.NotRun, Err: errLate}
 	}
+	idle := c.idle(f.Clock.Now())
 	reply, err := c.exchange(ctx, request, f.Codec.Header(request, send.Upstream, left), left)
 	if err != nil {
 		c.close()
+		if errors.Is(err, errClosed) && idle > 0 {
+			f.foundEnded(idle)
+		}
 		return traffic.Outcome{Fate: traffic.Unknown, Err: err}
 	}
 	if c.reusable(reply) {
@@ -115,13 +128,13 @@
 // take returns an idle connection that is young enough, or nil after it has
 // made room for a new one.
 func (f *Forwarder) take(key string, send traffic.Send) (*connection, error) {
-	limit := idleLimit
-	if !send.Idempotent {
-		limit = idleLimitOnce
-	}
 	now := f.Clock.Now()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	limit := f.idleBound(now)
+	if !send.Idempotent {
+		limit = limit * oncePercent / 100
+	}
 	if f.servers == nil {
 		f.servers = make(map[string]*server)
 	}
@@ -145,6 +158,30 @@
 	return nil, nil
 }
 
+// idleBound is the idle time up to which connections are used again: less
+// than that after which one was found ended without notice, for a while.
+func (f *Forwarder) idleBound(now time.Time) time.Duration {
+	since := now.Sub(f.learnedAt)
+	if f.learned == 0 || since >= idleRecovery {
+		return idleLimit
+	}
+	low := f.learned / 2
+	return low + time.Duration(float64(idleLimit-low)*float64(since)/float64(idleRecovery))
+}
+
+// foundEnded takes in that a connection ended without an answer when it was
+// used again after a pause.
+func (f *Forwarder) foundEnded(idle time.Duration) {
+	now := f.Clock.Now()
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if idle < minIdle || idle > f.idleBound(now) {
+		return
+	}
+	f.learned = idle
+	f.learnedAt = now
+}
+
 // put keeps a connection for the next request.
 func (f *Forwarder) put(c *connection) {
 	c.idleSince = f.Clock.Now()
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -277,3 +277,45 @@
 	assert.Equal(t, o.Fate, traffic.Unknown)
 	<-closed
 }
+
+// fakeClock is moved by hand.
+type fakeClock struct{ now atomic.Int64 }
+
+func (c *fakeClock) Now() time.Time { return time.Now().Add(time.Duration(c.now.Load())) }
+
+// Where servers forget idle connections sooner than they say, connections are
+// used again only after shorter pauses, and for longer ones again after a while.
+func TestForgottenIdleConnections(t *testing.T) {
+	forgets := &atomic.Bool{}
+	forgets.Store(true)
+	s := serve(t, func(conn net.Conn, r *http.Request, n int) bool {
+		if n > 1 && forgets.Load() {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			return false
+		}
+		say(conn, r.Header.Get("X-Id"), "")
+		return true
+	})
+	c := &fakeClock{}
+	f := &Forwarder{Codec: fakeCodec{}, Clock: c, MaxBodyBytes: 1 << 16}
+	t.Cleanup(f.Close)
+	use := func(id string) traffic.Fate {
+		return f.Exchange(t.Context(), traffic.Request{ID: id, Method: "GET", Target: "/"}, traffic.Send{
+			Upstream: traffic.Upstream{ID: "s1", Address: s.address}, Deadline: c.Now().Add(time.Second), Idempotent: true,
+		}).Fate
+	}
+	pause := func(d time.Duration) { c.now.Add(int64(d)) }
+	assert.Equal(t, use("1"), traffic.Ran)
+	pause(4 * time.Second)
+	assert.Equal(t, use("2"), traffic.Unknown)
+	assert.Equal(t, use("fresh"), traffic.Ran)
+	pause(3 * time.Second)
+	assert.Equal(t, use("next"), traffic.Ran)
+	forgets.Store(false)
+	pause(idleRecovery)
+	assert.Equal(t, use("3"), traffic.Ran)
+	before := s.connections.Load()
+	pause(5 * time.Second)
+	assert.Equal(t, use("4"), traffic.Ran)
+	assert.Equal(t, s.connections.Load(), before)
+}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -50,11 +50,11 @@
 	upstreamWait  = 3 * time.Second
 	operatorWait  = 10 * time.Second
 	instanceWait  = 25 * time.Second
-	instancePause = 500 * time.Millisecond
+	instancePause = 2 * time.Second
 	// pausePart of the time in which a leaving server may still get work is
 	// waited between two calls about servers, in percent: the servers' reports
 	// gather meanwhile, and the rest is for a call that fails.
-	pausePart = 45
+	pausePart = 55
 	// departurePeriod is how long callers may use an answer that names this
 	// instance: three times the lifetime of look-ups.
 	departurePeriod = 3200 * time.Millisecond
