Send a second attempt beside an overdue one

Ruled out: cutting the first attempt off. Its answer may be near, and work that is broken off is lost to both.

Change: an answer that takes three times what was expected makes its server count as slow at once; an idempotent request goes to a second server beside it, within attempts and the shared budget, if that one is expected to answer in time. The first good answer counts, the other attempt is cut off.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -41,13 +41,15 @@
 	request traffic.Request
 	until   time.Time
 	final   chan traffic.Effect
-	cancel  context.CancelFunc
+	// cancels end the attempts under way.
+	cancels map[int]context.CancelFunc
+	done    bool
 }
 
 // Carry serves one request and returns its final answer: a Deliver or an
 // Answer, or nil if the caller has gone.
 func (c *Carrier) Carry(ctx context.Context, request traffic.Request, read time.Time) traffic.Effect {
-	x := &exchange{request: request, final: make(chan traffic.Effect, 1)}
+	x := &exchange{request: request, final: make(chan traffic.Effect, 1), cancels: make(map[int]context.CancelFunc)}
 	number := c.arrive(x, read)
 	timer := time.NewTimer(x.until.Sub(c.Clock.Now()))
 	defer timer.Stop()
@@ -58,7 +60,7 @@
 		case <-timer.C:
 			c.Do(traffic.Expired{Call: number})
 		case <-ctx.Done():
-			c.Do(traffic.Left{Call: number})
+			c.leave(number, x)
 			return nil
 		}
 	}
@@ -77,6 +79,15 @@
 	return number
 }
 
+// leave ends a call whose caller has gone.
+func (c *Carrier) leave(number uint64, x *exchange) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.reduce(traffic.Left{Call: number})
+	x.done = true
+	c.forget(number, x)
+}
+
 // Do takes in an event.
 func (c *Carrier) Do(e traffic.Event) {
 	c.mutex.Lock()
@@ -120,9 +131,11 @@
 	case traffic.Send:
 		c.send(e)
 	case traffic.Cancel:
-		if x := c.calls[e.Call]; x != nil && x.cancel != nil {
-			x.cancel()
+		if x := c.calls[e.Call]; x != nil && x.cancels[e.Attempt] != nil {
+			x.cancels[e.Attempt]()
 		}
+	case traffic.Watch:
+		time.AfterFunc(e.After, func() { c.Do(traffic.Overdue{Call: e.Call, Attempt: e.Attempt}) })
 	case traffic.Deliver:
 		c.finish(e.Call, e)
 	case traffic.Answer:
@@ -138,16 +151,19 @@
 
 func (c *Carrier) finish(number uint64, e traffic.Effect) {
 	x := c.calls[number]
-	if x == nil {
+	if x == nil || x.done {
 		return
 	}
-	if x.cancel == nil {
+	x.done = true
+	x.final <- e
+	c.forget(number, x)
+}
+
+// forget drops a call that has its answer and no attempt under way.
+func (c *Carrier) forget(number uint64, x *exchange) {
+	if x.done && len(x.cancels) == 0 {
 		delete(c.calls, number)
 	}
-	select {
-	case x.final <- e:
-	default:
-	}
 }
 
 func (c *Carrier) send(e traffic.Send) {
@@ -155,9 +171,9 @@
 	if x == nil {
 		return
 	}
-	// The exchange outlives the caller where its work must be finished.
+	// The attempt outlives the caller where its work must be finished.
 	ctx, cancel := context.WithCancel(context.Background())
-	x.cancel = cancel
+	x.cancels[e.Attempt] = cancel
 	go func() {
 		outcome := c.Forwarder.Exchange(ctx, x.request, e)
 		cancel()
@@ -168,9 +184,7 @@
 func (c *Carrier) ended(x *exchange, e traffic.Send, outcome traffic.Outcome) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	x.cancel = nil
+	delete(x.cancels, e.Attempt)
 	c.reduce(traffic.Ended{Call: e.Call, Attempt: e.Attempt, Outcome: outcome})
-	if x.cancel == nil {
-		delete(c.calls, e.Call)
-	}
+	c.forget(e.Call, x)
 }
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/traffic"
@@ -25,22 +26,41 @@
 	read    time.Time
 	until   time.Time
 
-	attempt int
-	// arrivals counts the attempts that reached a server, runs those that ran
-	// or may have run.
+	// attempts counts the attempts made, arrivals those that reached a server,
+	// runs those that ran or may have run; open are those under way.
+	attempts int
 	arrivals int
 	runs     int
-	current  *upstream
-	sentAt   time.Time
-	expected time.Duration
-	known    bool
+	open     []*attempt
 	tried    map[string]bool
 	// unknown is set once an attempt's fate is unknown.
 	unknown bool
 	// last is the newest whole answer that was not good enough to deliver.
 	last *traffic.Reply
-	// abandoned calls have their answer; the server still works.
-	abandoned bool
+	// answered calls have their answer, or nobody waits for it; servers may
+	// still work for them.
+	answered bool
+}
+
+// attempt is a call at one server.
+type attempt struct {
+	number   int
+	server   *upstream
+	sentAt   time.Time
+	expected time.Duration
+	// known is set where the server is expected to have the object at hand.
+	known bool
+}
+
+// take removes an attempt from those under way; nil where there is none.
+func (c *call) take(number int) *attempt {
+	for i, a := range c.open {
+		if a.number == number {
+			c.open = slices.Delete(c.open, i, i+1)
+			return a
+		}
+	}
+	return nil
 }
 
 func (s *Steerer) arrived(e traffic.Arrived) {
@@ -80,12 +100,16 @@
 		s.giveUp(c, choice.refusal, choice.retryAfter)
 		return
 	}
+	s.send(c, choice)
+}
+
+// send starts an attempt.
+func (s *Steerer) send(c *call, choice choice) {
 	u := choice.server
-	c.attempt++
-	c.current = u
-	c.sentAt = s.now
-	c.expected = choice.expected
-	c.known = choice.known
+	c.attempts++
+	c.open = append(c.open, &attempt{
+		number: c.attempts, server: u, sentAt: s.now, expected: choice.expected, known: choice.known,
+	})
 	c.tried[u.ID] = true
 	if s.cold(u) {
 		u.pacer.Take(s.now, s.coldShare(u))
@@ -94,12 +118,13 @@
 	u.objects.add(objectKey(c), s.now)
 	s.emit(traffic.Send{
 		Call:        c.number,
-		Attempt:     c.attempt,
+		Attempt:     c.attempts,
 		Upstream:    u.Upstream,
 		Connections: s.connections(c.service),
 		Deadline:    c.until,
 		Idempotent:  c.route.Idempotent,
 	})
+	s.emit(traffic.Watch{Call: c.number, Attempt: c.attempts, After: patience(choice.expected)})
 }
 
 func objectKey(c *call) string {
--- a/internal/steerer/fleet_test.go
+++ b/internal/steerer/fleet_test.go
@@ -255,6 +255,8 @@
 	switch x := effect.(type) {
 	case traffic.Admit:
 		f.at(x.Until.Sub(f.now), func() { f.give(b, traffic.Expired{Call: x.Call}) })
+	case traffic.Watch:
+		f.at(x.After, func() { f.give(b, traffic.Overdue{Call: x.Call, Attempt: x.Attempt}) })
 	case traffic.Send:
 		w := modelWork{instance: b, send: x, call: f.calls[id(x.Call)]}
 		f.at(f.way(b, x.Upstream.ID), func() { f.reach(w) })
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/budgeter"
@@ -28,15 +29,17 @@
 
 func (s *Steerer) ended(e traffic.Ended) {
 	c := s.calls[e.Call]
-	if c == nil || c.attempt != e.Attempt || c.current == nil {
+	if c == nil {
 		return
 	}
-	u := c.current
-	c.current = nil
-	u.inFlight--
-	s.observe(c, u, e.Outcome)
-	if c.abandoned {
-		delete(s.calls, c.number)
+	a := c.take(e.Attempt)
+	if a == nil {
+		return
+	}
+	a.server.inFlight--
+	s.observe(c, a, e.Outcome)
+	if c.answered {
+		s.forget(c)
 		return
 	}
 	switch e.Outcome.Fate {
@@ -49,17 +52,25 @@
 	}
 }
 
+// forget drops a call that has its answer and nothing under way.
+func (s *Steerer) forget(c *call) {
+	if len(c.open) == 0 {
+		delete(s.calls, c.number)
+	}
+}
+
 // observe learns from an outcome.
-func (s *Steerer) observe(c *call, u *upstream, o traffic.Outcome) {
+func (s *Steerer) observe(c *call, a *attempt, o traffic.Outcome) {
+	u := a.server
 	s.observeLoad(u, o.Reply.Load)
-	if c.abandoned && o.Fate != traffic.Ran {
+	if c.answered && o.Fate != traffic.Ran {
 		return
 	}
 	switch {
 	case o.Fate == traffic.Ran && o.Reply.Status < http.StatusInternalServerError:
 		u.ejector.Succeed()
 		s.observeFault(u, false)
-		s.observeTime(c, u, o)
+		s.observeTime(c, a, o)
 	case o.Reply.Misdirected:
 		u.misdirected = true
 		s.recordBelief("server has handed on its address", attr("server", u.ID), attr("address", u.Address))
@@ -75,16 +86,17 @@
 	}
 }
 
-func (s *Steerer) observeTime(c *call, u *upstream, o traffic.Outcome) {
+func (s *Steerer) observeTime(c *call, a *attempt, o traffic.Outcome) {
+	u := a.server
 	took := o.Took
 	if u.region != s.Self.Region {
 		took -= regionDelay
 	}
 	took = max(took, time.Millisecond)
 	if o.Reply.Load.Waiting == 0 && !s.cold(u) {
-		c.route.times.observe(c.known, time.Duration(float64(took)/s.slownessOf(u)))
+		c.route.times.observe(a.known, time.Duration(float64(took)/s.slownessOf(u)))
 	}
-	if expected := c.route.times.expect(c.known); expected > 0 && o.Reply.Load.Waiting == 0 {
+	if expected := c.route.times.expect(a.known); expected > 0 && o.Reply.Load.Waiting == 0 {
 		s.observeSlowness(u, float64(took)/float64(expected))
 	}
 }
@@ -96,12 +108,10 @@
 	c.runs++
 	if reply.Status >= http.StatusInternalServerError && c.route.Idempotent {
 		c.last = &reply
-		if s.mayRepeat(c, true) {
-			s.try(c)
-			return
-		}
+		s.tryAgain(c, true, traffic.Interrupted)
+		return
 	}
-	delete(s.calls, c.number)
+	s.abandon(c)
 	if !reply.Signed && reply.Status < http.StatusMultipleChoices {
 		s.refuse(c, traffic.Interrupted, traffic.Unknown, 0)
 		return
@@ -114,11 +124,7 @@
 	if o.Reply.NotRun {
 		c.arrivals++
 	}
-	if s.mayRepeat(c, o.Reply.NotRun) {
-		s.try(c)
-		return
-	}
-	s.giveUp(c, traffic.Overloaded, startRetryAfter)
+	s.tryAgain(c, o.Reply.NotRun, traffic.Overloaded)
 }
 
 // unknown ends a call that may have run, unless it may run again.
@@ -128,17 +134,69 @@
 	c.unknown = true
 	s.recordBelief("attempt of unknown fate", attr("request", c.request.ID), attr("call", c.number),
 		attr("error", errorText(o.Err)), attr("took", o.Took))
-	if c.route.Idempotent && s.mayRepeat(c, true) {
+	if !c.route.Idempotent {
+		s.giveUp(c, traffic.Interrupted, 0)
+		return
+	}
+	s.tryAgain(c, true, traffic.Interrupted)
+}
+
+// tryAgain goes to another server after an attempt without a good answer, or
+// gives up; where another attempt is under way, that one decides.
+func (s *Steerer) tryAgain(c *call, arrived bool, reason traffic.Refusal) {
+	if len(c.open) > 0 {
+		return
+	}
+	if s.mayRepeat(c, arrived) {
 		s.try(c)
 		return
 	}
-	s.giveUp(c, traffic.Interrupted, 0)
+	s.giveUp(c, reason, startRetryAfter)
+}
+
+const (
+	// patienceFactor times the expected time, and at least minPatience more,
+	// is how long an answer is waited for before its server is taken for slow.
+	patienceFactor = 3
+	minPatience    = 250 * time.Millisecond
+)
+
+func patience(expected time.Duration) time.Duration {
+	return max(patienceFactor*expected, expected+minPatience)
+}
+
+// overdue takes a server for slow that has not answered in time. An idempotent
+// request is sent to a second server beside it if that one is expected to
+// answer in time; the first good answer counts.
+func (s *Steerer) overdue(e traffic.Overdue) {
+	c := s.calls[e.Call]
+	if c == nil || c.answered {
+		return
+	}
+	i := slices.IndexFunc(c.open, func(a *attempt) bool { return a.number == e.Attempt })
+	if i < 0 {
+		return
+	}
+	a := c.open[i]
+	waited := s.now.Sub(a.sentAt)
+	if ratio := float64(waited) / float64(max(a.expected, time.Millisecond)); ratio > s.slownessOf(a.server) {
+		s.observeSlowness(a.server, ratio)
+	}
+	if !c.route.Idempotent || len(c.open) > 1 {
+		return
+	}
+	choice := s.place(c)
+	if choice.server == nil || choice.expected > c.until.Sub(s.now) || !s.mayRepeat(c, true) {
+		return
+	}
+	s.recordHedge(c, a, choice)
+	s.send(c, choice)
 }
 
 // mayRepeat reports whether a call may go to another server, and takes that
 // from the budget if the first server counts as an arrival.
 func (s *Steerer) mayRepeat(c *call, arrived bool) bool {
-	if c.runs >= c.route.MaxAttempts || c.arrivals >= maxArrivals || c.attempt >= maxAttempts {
+	if c.runs+len(c.open) >= c.route.MaxAttempts || c.arrivals >= maxArrivals || c.attempts >= maxAttempts {
 		return false
 	}
 	if c.until.Sub(s.now) < c.route.times.expect(true)/minTimeLeft {
@@ -156,7 +214,7 @@
 // expired gives the final answer at the end of a call's time.
 func (s *Steerer) expired(number uint64) {
 	c := s.calls[number]
-	if c == nil || c.abandoned {
+	if c == nil || c.answered {
 		return
 	}
 	s.abandon(c)
@@ -168,12 +226,12 @@
 // goes on, since its effects are wanted whole.
 func (s *Steerer) left(number uint64) {
 	c := s.calls[number]
-	if c == nil || c.abandoned {
+	if c == nil || c.answered {
 		return
 	}
 	s.recordLeft(c)
-	if !c.route.Idempotent && c.current != nil {
-		c.abandoned = true
+	if !c.route.Idempotent && len(c.open) > 0 {
+		c.answered = true
 		return
 	}
 	s.abandon(c)
@@ -181,12 +239,11 @@
 
 // abandon cuts off what a call has under way.
 func (s *Steerer) abandon(c *call) {
-	c.abandoned = true
-	if c.current == nil {
-		delete(s.calls, c.number)
-		return
+	c.answered = true
+	for _, a := range c.open {
+		s.emit(traffic.Cancel{Call: c.number, Attempt: a.number})
 	}
-	s.emit(traffic.Cancel{Call: c.number, Attempt: c.attempt})
+	s.forget(c)
 }
 
 func errorText(err error) string {
--- a/internal/steerer/record.go
+++ b/internal/steerer/record.go
@@ -52,11 +52,22 @@
 		return append(attributes, attr("host", c.request.Host), attr("path", c.request.Path))
 	}
 	attributes = append(attributes, attr("route", c.route.Name), attr("service", c.service),
-		attr("object", c.request.Object), attr("limit", c.until.Sub(c.read)), attr("attempts", c.attempt))
-	if c.attempt == 0 {
+		attr("object", c.request.Object), attr("limit", c.until.Sub(c.read)), attr("attempts", c.attempts))
+	if c.attempts == 0 {
 		return attributes
 	}
-	return append(attributes, attr("tried", fmt.Sprint(tried(c))), attr("known", c.known), attr("expected", c.expected))
+	return append(attributes, attr("tried", fmt.Sprint(tried(c))))
+}
+
+// recordHedge logs the second attempt beside one that is overdue.
+func (s *Steerer) recordHedge(c *call, a *attempt, choice choice) {
+	s.emit(traffic.Record{
+		Level:    slog.LevelInfo,
+		Message:  "second attempt",
+		Frequent: true,
+		Attributes: append(s.describe(c), attr("overdue", a.server.ID), attr("expected", a.expected),
+			attr("waited", s.now.Sub(a.sentAt)), attr("server", choice.server.ID)),
+	})
 }
 
 func tried(c *call) []string {
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -91,6 +91,8 @@
 		s.arrived(e)
 	case traffic.Ended:
 		s.ended(e)
+	case traffic.Overdue:
+		s.overdue(e)
 	case traffic.Expired:
 		s.expired(e.Call)
 	case traffic.Left:
--- a/internal/steerer/steerer_test.go
+++ b/internal/steerer/steerer_test.go
@@ -353,3 +353,44 @@
 	b.after(sizeMemory + time.Second).do(traffic.Ticked{})
 	assert.Equal(t, b.instances.size(), 1)
 }
+
+func TestOverdueAnswer(t *testing.T) {
+	overdue := func(path string) (*bench, traffic.Send, []traffic.Effect) {
+		b := informed(t, server("s1", "a1"), server("s2", "a2"))
+		_, effects := b.ask(path, "7")
+		first := b.mustSend(effects)
+		watch, ok := find[traffic.Watch](effects)
+		assert.Assert(t, ok)
+		return b, first, b.after(watch.After).do(traffic.Overdue{Call: watch.Call, Attempt: watch.Attempt})
+	}
+	b, first, effects := overdue("/look/1")
+	second := b.mustSend(effects)
+	assert.Assert(t, first.Upstream.ID != second.Upstream.ID)
+	effects = b.end(second, good())
+	_, delivered := find[traffic.Deliver](effects)
+	assert.Assert(t, delivered)
+	cancel, cancelled := find[traffic.Cancel](effects)
+	assert.Assert(t, cancelled)
+	assert.Equal(t, cancel.Attempt, first.Attempt)
+	effects = b.end(first, good())
+	_, delivered = find[traffic.Deliver](effects)
+	assert.Assert(t, !delivered, "a second answer was delivered")
+	assert.Equal(t, b.InFlight(), 0)
+
+	_, _, effects = overdue("/order/1")
+	_, again := find[traffic.Send](effects)
+	assert.Assert(t, !again, "once-only work was sent to a second server")
+}
+
+// A failed attempt does not end a request while another may still answer it.
+func TestOneOfTwoAttemptsFails(t *testing.T) {
+	b := informed(t, server("s1", "a1"), server("s2", "a2"))
+	_, effects := b.ask("/look/1", "7")
+	first := b.mustSend(effects)
+	second := b.mustSend(b.after(2 * time.Second / 2).do(traffic.Overdue{Call: first.Call, Attempt: first.Attempt}))
+	effects = b.end(second, traffic.Outcome{Fate: traffic.Unknown, Err: errReset})
+	_, answered := find[traffic.Answer](effects)
+	assert.Assert(t, !answered)
+	_, delivered := find[traffic.Deliver](b.end(first, good()))
+	assert.Assert(t, delivered)
+}
--- a/internal/traffic/effect.go
+++ b/internal/traffic/effect.go
@@ -23,6 +23,13 @@
 	Idempotent bool
 }
 
+// Watch has an Overdue come after a time, whether the Send has ended or not.
+type Watch struct {
+	Call    uint64
+	Attempt int
+	After   time.Duration
+}
+
 // Cancel ends a Send whose answer nobody wants.
 type Cancel struct {
 	Call    uint64
@@ -65,6 +72,7 @@
 
 func (Admit) effect()   {}
 func (Send) effect()    {}
+func (Watch) effect()   {}
 func (Cancel) effect()  {}
 func (Deliver) effect() {}
 func (Answer) effect()  {}
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -23,6 +23,12 @@
 	Outcome Outcome
 }
 
+// Overdue fires at the time that a Watch named.
+type Overdue struct {
+	Call    uint64
+	Attempt int
+}
+
 // Expired fires at the time that an Admit named.
 type Expired struct{ Call uint64 }
 
@@ -85,6 +91,7 @@
 
 func (Arrived) event()           {}
 func (Ended) event()             {}
+func (Overdue) event()           {}
 func (Expired) event()           {}
 func (Left) event()              {}
 func (Ticked) event()            {}
