--- a/internal/answerer/answerer.go
+++ b/internal/answerer/answerer.go
@@ -26,6 +26,7 @@
 	"github.com/yuccathread/yuccathread/internal/clock"
 	"github.com/yuccathread/yuccathread/internal/engine"
 	"github.com/yuccathread/yuccathread/internal/executor"
+	"github.com/yuccathread/yuccathread/internal/exposer"
 	"github.com/yuccathread/yuccathread/internal/gossiper"
 	"github.com/yuccathread/yuccathread/internal/message"
 	"github.com/yuccathread/yuccathread/internal/model"
@@ -59,7 +60,7 @@
 	mux.HandleFunc("POST /v1/work/{kind}", a.work)
 	mux.HandleFunc("GET /healthz", a.healthy)
 	mux.HandleFunc("GET /readyz", a.ready)
-	mux.HandleFunc("GET /metrics", a.metrics)
+	mux.Handle("GET /metrics", &exposer.Exposer{Registry: a.Registry, Prefix: "yuccathread_", Update: a.gauge})
 	mux.Handle("/", withClient(server))
 	return mux, nil
 }
--- a/internal/answerer/metrics.go
+++ b/internal/answerer/metrics.go
@@ -1,10 +1,6 @@
 package answerer
 
 import (
-	"fmt"
-	"net/http"
-	"strings"
-
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/yuccathread/yuccathread/internal/message"
@@ -19,26 +15,6 @@
 	return &answer.Gossip
 }
 
-// metrics writes the registry in the text format that scrapers read.
-func (a *Answerer) metrics(w http.ResponseWriter, _ *http.Request) {
-	a.gauge()
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	a.Registry.Each(func(name string, metric any) {
-		name = "yuccathread_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
-		switch m := metric.(type) {
-		case metrics.Counter:
-			fmt.Fprintf(w, "%s %d\n", name, m.Count())
-		case metrics.Gauge:
-			fmt.Fprintf(w, "%s %d\n", name, m.Value())
-		case metrics.Timer:
-			s := m.Snapshot()
-			fmt.Fprintf(w, "%s_count %d\n", name, s.Count())
-			fmt.Fprintf(w, "%s_p50_ns %.0f\n", name, s.Percentile(0.5))
-			fmt.Fprintf(w, "%s_p99_ns %.0f\n", name, s.Percentile(0.99))
-		}
-	})
-}
-
 // gauge sets the gauges from the reducer's status.
 func (a *Answerer) gauge() {
 	s := a.status()
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -123,8 +123,10 @@
 		store := &refusing{}
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		f := Follower{Store: store, Subject: traffic.Operators, Logger: slog.New(slog.DiscardHandler),
-			Wait: 3 * time.Second, Do: func(traffic.Event) {}}
+		f := Follower{
+			Store: store, Subject: traffic.Operators, Logger: slog.New(slog.DiscardHandler),
+			Wait: 3 * time.Second, Do: func(traffic.Event) {},
+		}
 		f.Run(ctx)
 		assert.Assert(t, store.reads.Load() <= 60, "%d reads in 10 s", store.reads.Load())
 	})
@@ -139,14 +141,18 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 		defer cancel()
 		var regained time.Time
-		slow := &Follower{Store: store, Subject: traffic.Operators, Logger: slog.New(slog.DiscardHandler), Wait: 25 * time.Second,
+		slow := &Follower{
+			Store: store, Subject: traffic.Operators, Logger: slog.New(slog.DiscardHandler), Wait: 25 * time.Second,
 			Do: func(e traffic.Event) {
 				if _, ok := e.(traffic.StoreRegained); ok {
 					regained = time.Now()
 				}
-			}}
-		quick := &Follower{Store: store, Subject: traffic.Upstreams, Logger: slog.New(slog.DiscardHandler), Wait: time.Second,
-			Do: func(traffic.Event) {}, Suspect: slow.Renew}
+			},
+		}
+		quick := &Follower{
+			Store: store, Subject: traffic.Upstreams, Logger: slog.New(slog.DiscardHandler), Wait: time.Second,
+			Do: func(traffic.Event) {}, Suspect: slow.Renew,
+		}
 		go slow.Run(ctx)
 		quick.Run(ctx)
 		synctest.Wait()
@@ -163,8 +169,10 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
 		renewed := 0
-		f := &Follower{Store: &fakeStore{dropped: true}, Subject: traffic.Upstreams, Logger: slog.New(slog.DiscardHandler),
-			Wait: time.Second, Do: func(traffic.Event) {}, Suspect: func() { renewed++ }}
+		f := &Follower{
+			Store: &fakeStore{dropped: true}, Subject: traffic.Upstreams, Logger: slog.New(slog.DiscardHandler),
+			Wait: time.Second, Do: func(traffic.Event) {}, Suspect: func() { renewed++ },
+		}
 		f.Run(ctx)
 		assert.Equal(t, renewed, 1)
 	})
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -42,8 +42,6 @@
 	// bodies of all together, as a divisor of the memory.
 	maxBodyBytes = 8 << 20
 	bodiesPart   = 4
-	// memoryPart of the bound makes the collector work harder.
-	memoryPart = 0.7
 	// upstreamWait ends a quiet call of the store, so that a connection gone
 	// silent is noticed within the operators' bounds; the others are renewed
 	// as soon as one fails.
--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -17,9 +17,6 @@
 	ejectPeriod = time.Second
 	// loadAge is the time in which a report of load loses most of its weight.
 	loadAge = time.Second
-	// massRemoval is the part of a service whose records must go together to
-	// be taken for lapsed records and not for servers that left.
-	massRemoval = 0.25
 	// faultHalfLife is the time in which a server's failures are half forgotten.
 	faultHalfLife = 3 * time.Second
 	// faultGain is the weight of one outcome in a server's failure rate.
@@ -127,9 +124,9 @@
 	s.recordBelief("server left", attr("server", u.ID), attr("reason", reason), attr("revision", u.Revision))
 }
 
-// upstreamGone takes in that a record has gone. While the store recovers, or
-// where many records go together, the loss may be the store's: such servers
-// are kept until their records must be back.
+// upstreamGone takes in that a record has gone. While the store recovers the
+// loss may be the store's: such servers are kept until their records must be
+// back.
 func (s *Steerer) upstreamGone(id string) {
 	u := s.upstreams[id]
 	if u == nil || u.gone {
