Take a request for hopeless by what was seen, not by its target

Change: an expected time refuses a request only after 8 samples (TestTargetBeyondTheTimeout failed first).

--- a/internal/steerer/objects.go
+++ b/internal/steerer/objects.go
@@ -48,9 +48,12 @@
 	// and where it has not.
 	known   time.Duration
 	unknown time.Duration
+	samples int
 }
 
 const (
+	// minSamples is the number of samples from which on the times are relied on.
+	minSamples = 8
 	// timesGain is the weight of one sample, as a divisor.
 	timesGain = 16
 	// knownPart is the expected time of known objects, as a divisor of the
@@ -69,6 +72,12 @@
 		mean = &t.known
 	}
 	*mean += (sample - *mean) / timesGain
+	t.samples++
+}
+
+// learned reports whether the times come from work that was seen.
+func (t *times) learned() bool {
+	return t.samples >= minSamples
 }
 
 func (t *times) expect(known bool) time.Duration {
--- a/internal/steerer/placement.go
+++ b/internal/steerer/placement.go
@@ -76,7 +76,7 @@
 			best = choice{server: u, expected: expected, known: known}
 		}
 	}
-	if best.server != nil && best.expected > c.until.Sub(s.now) && c.attempts == 0 {
+	if best.server != nil && best.expected > c.until.Sub(s.now) && c.attempts == 0 && c.route.times.learned() {
 		return choice{refusal: traffic.Overloaded, retryAfter: best.expected / 2}
 	}
 	return best
--- a/internal/steerer/steerer_test.go
+++ b/internal/steerer/steerer_test.go
@@ -394,3 +394,17 @@
 	_, delivered := find[traffic.Deliver](b.end(first, good()))
 	assert.Assert(t, delivered)
 }
+
+// A route's target says nothing of how long its work takes: a request is
+// hopeless only by what was seen.
+func TestTargetBeyondTheTimeout(t *testing.T) {
+	b := informed(t, server("s1", "a1"))
+	p := policy(2)
+	p.Routes[0].Target = 10 * time.Second
+	p.Routes[0].Name = "new"
+	b.do(traffic.PolicySeen{Policy: p})
+	for i := range 20 {
+		_, effects := b.ask("/look/1", fmt.Sprint(i))
+		b.end(b.mustSend(effects), good())
+	}
+}
