Keep movement of objects between regions below the shift cap

Cause: the cap was read from the settings and not used: when half of a region's servers were evacuated, 123 of 400 objects changed their region within 2 s (TestShiftStaysBelowTheCap, which failed first).

Ruled out: the shifter of the own interface: it counts single requests and refuses what may not move; here the objects' shares move, and nothing is refused for it.

Change: the shares by which objects are given regions approach what the regions have room for by at most 0.8 of the cap a window.

--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -32,6 +32,9 @@
 	placer  placer.Placer
 	servers []*upstream
 	budget  retryBudget
+	// shares is the part of the own callers' objects that each region takes.
+	shares   map[string]float64
+	sharesAt time.Time
 }
 
 // upstream is what is believed about one server.
--- a/internal/steerer/world_test.go
+++ b/internal/steerer/world_test.go
@@ -26,6 +26,7 @@
 		Bounds: traffic.Bounds{
 			ReturnWait: d(2 * time.Second), RetryRatio: 0.2, RetrySlack: 50, ColdFactor: 1.5, ColdSlack: 5,
 			LookUpLifetime: d(5 * time.Second), Grace: d(6 * time.Second),
+			ShiftCap: 0.15, ShiftWindow: d(2 * time.Second),
 		},
 	}
 }
