--- a/internal/cli/steer.go
+++ b/internal/cli/steer.go
@@ -30,6 +30,9 @@
 
 // runSteering runs an instance on a managed platform.
 func (c *command) runSteering() int {
+	// A hang-up may come at any moment; before this call it would end the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	p := preparer.Preparer{File: c.steer}
 	s, err := p.Load()
 	if err != nil {
@@ -47,7 +50,7 @@
 	defer spool.Close()
 	logger := steeringLogger(spool, s)
 	reload := make(chan traffic.Settings)
-	go c.watchSettings(&p, reload, logger)
+	go watchSettings(&p, hangups, reload, logger)
 	l := launcher.Launcher{
 		Settings:   s,
 		Store:      &platform.Store{Address: s.StoreAddress},
@@ -78,9 +81,7 @@
 
 // watchSettings reloads the settings on SIGHUP and when the file has changed.
 // Settings with findings are logged and left alone.
-func (c *command) watchSettings(p *preparer.Preparer, reload chan<- traffic.Settings, logger *slog.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func watchSettings(p *preparer.Preparer, hangups <-chan os.Signal, reload chan<- traffic.Settings, logger *slog.Logger) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	last := modified(p.File)
