Give small bodies what they need; take no share before others are known

Bodies grow from 16 KB. - An instance that had not read the other instances' records took the shares of all of cold servers, repeats and connections (TestNotInformedWithoutTheInstances failed first). It is not ready before. - A request refused by a server for what it is went to other servers (TestFaultyRequestIsNotSentOn failed first). Its answer is delivered. - A setting, an effect and three reasons that nothing used are gone.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -144,8 +144,6 @@
 		c.Record(e)
 	case traffic.Reannounce:
 		c.Reannounce()
-	case traffic.Forget:
-		// Connections to servers that have gone end by themselves.
 	}
 }
 
--- a/internal/preparer/preparer.go
+++ b/internal/preparer/preparer.go
@@ -35,7 +35,6 @@
 			Grace:          seconds(6),
 			ReturnWait:     seconds(2),
 			RetryRatio:     0.2,
-			RetryWindow:    seconds(10),
 			RetrySlack:     20,
 			ColdFactor:     1.5,
 			ColdSlack:      5,
@@ -105,7 +104,6 @@
 	}{
 		{"/bounds/drain", b.Drain.Seconds()},
 		{"/bounds/grace", b.Grace.Seconds()},
-		{"/bounds/retry_window", b.RetryWindow.Seconds()},
 		{"/bounds/shift_window", b.ShiftWindow.Seconds()},
 		{"/bounds/look_up_lifetime", b.LookUpLifetime.Seconds()},
 		{"/bounds/cold_factor", b.ColdFactor},
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -26,6 +26,11 @@
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
+// firstBodyBytes is what a body without a length is given at first.
+const firstBodyBytes = 16 << 10
+
+var errBodies = errors.New("receiver: the bodies under way hold too many bytes")
+
 // Receiver answers HTTP requests. Set the fields before the first request.
 type Receiver struct {
 	Carrier  *carrier.Carrier
@@ -46,22 +51,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	request := r.Codec.Request(q)
-	size := max(q.ContentLength, 0)
-	if q.ContentLength < 0 {
-		size = r.MaxBodyBytes
-	}
-	if q.ContentLength > r.MaxBodyBytes {
-		r.refuse(w, traffic.Answer{Reason: traffic.TooLarge, Fate: traffic.NotRun})
-		return
-	}
-	if !r.Bodies.TryAcquire(size) {
-		r.refuse(w, traffic.Answer{Reason: traffic.Overloaded, Fate: traffic.NotRun, RetryAfter: time.Second})
-		return
-	}
-	defer r.Bodies.Release(size)
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, r.MaxBodyBytes))
+	body, err := r.readBody(w, q)
+	defer r.Bodies.Release(int64(cap(body)))
 	if err != nil {
-		r.unreadable(w, err)
+		r.refuseBody(w, err)
 		return
 	}
 	request.Body = body
@@ -82,14 +75,53 @@
 	metrics.GetOrRegisterCounter(name, r.Registry).Inc(1)
 }
 
-// unreadable answers a request whose body did not come whole.
-func (r *Receiver) unreadable(w http.ResponseWriter, err error) {
+// readBody reads a whole body. What it returns is taken from the bytes that all
+// bodies together may hold, in steps as a body without a length grows.
+func (r *Receiver) readBody(w http.ResponseWriter, q *http.Request) ([]byte, error) {
+	if q.ContentLength > r.MaxBodyBytes {
+		return nil, &http.MaxBytesError{Limit: r.MaxBodyBytes}
+	}
+	reader := http.MaxBytesReader(w, q.Body, r.MaxBodyBytes)
+	size := q.ContentLength
+	if size < 0 {
+		size = firstBodyBytes
+	}
+	if !r.Bodies.TryAcquire(size) {
+		return nil, errBodies
+	}
+	body := make([]byte, 0, size)
+	for {
+		if len(body) == cap(body) && q.ContentLength >= 0 {
+			return body, nil
+		}
+		if len(body) == cap(body) {
+			if !r.Bodies.TryAcquire(int64(cap(body))) {
+				return body, errBodies
+			}
+			body = append(make([]byte, 0, 2*cap(body)), body...)
+		}
+		n, err := reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+}
+
+// refuseBody answers a request whose body did not come whole.
+func (r *Receiver) refuseBody(w http.ResponseWriter, err error) {
 	var large *http.MaxBytesError
-	reason := traffic.BadRequest
-	if errors.As(err, &large) {
-		reason = traffic.TooLarge
+	switch {
+	case errors.Is(err, errBodies):
+		r.refuse(w, traffic.Answer{Reason: traffic.Overloaded, Fate: traffic.NotRun, RetryAfter: time.Second})
+	case errors.As(err, &large):
+		r.refuse(w, traffic.Answer{Reason: traffic.TooLarge, Fate: traffic.NotRun})
+	default:
+		r.refuse(w, traffic.Answer{Reason: traffic.BadRequest, Fate: traffic.NotRun})
 	}
-	r.refuse(w, traffic.Answer{Reason: reason, Fate: traffic.NotRun})
 }
 
 func (r *Receiver) deliver(w http.ResponseWriter, reply traffic.Reply) {
@@ -138,7 +170,7 @@
 // LookUp names the instances that a caller should use.
 func (r *Receiver) LookUp(w http.ResponseWriter, q *http.Request) {
 	informed := false
-	r.Carrier.View(func(s *steerer.Steerer) { informed = s.Informed() && s.KnowsInstances() })
+	r.Carrier.View(func(s *steerer.Steerer) { informed = s.Informed() })
 	if !informed {
 		http.Error(w, "starting", http.StatusServiceUnavailable)
 		return
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -139,8 +139,3 @@
 	}
 	return found
 }
-
-// KnowsInstances reports whether the instances have been read from the store.
-func (s *Steerer) KnowsInstances() bool {
-	return s.listed[traffic.Instances]
-}
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -124,9 +124,21 @@
 	if o.Reply.NotRun {
 		c.arrivals++
 	}
+	if faultOfRequest(o.Reply) {
+		s.abandon(c)
+		s.deliver(c, o.Reply)
+		return
+	}
 	s.tryAgain(c, o.Reply.NotRun, traffic.Overloaded)
 }
 
+// faultOfRequest reports whether a server has refused a request for what it
+// is: no other server would take it.
+func faultOfRequest(reply traffic.Reply) bool {
+	return reply.Status >= http.StatusBadRequest && reply.Status < http.StatusInternalServerError &&
+		reply.Status != http.StatusTooManyRequests && reply.Status != http.StatusMisdirectedRequest
+}
+
 // unknown ends a call that may have run, unless it may run again.
 func (s *Steerer) unknown(c *call, o traffic.Outcome) {
 	c.arrivals++
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -152,9 +152,10 @@
 	return s.Informed() && s.serving && s.stopping.IsZero()
 }
 
-// Informed reports whether the policy and the servers are known.
+// Informed reports whether the policy, the servers and the instances are
+// known. Without the instances this one would take the shares of all.
 func (s *Steerer) Informed() bool {
-	return s.policy != nil && s.listed[traffic.Upstreams]
+	return s.policy != nil && s.listed[traffic.Upstreams] && s.listed[traffic.Instances]
 }
 
 // Limits returns what callers may send, as the policy in force says.
--- a/internal/steerer/steerer_test.go
+++ b/internal/steerer/steerer_test.go
@@ -206,9 +206,13 @@
 				b.do(traffic.PolicySeen{Policy: policy(1)})
 				b.do(traffic.UpstreamSeen{Upstream: cold})
 				b.do(traffic.UpstreamsListed{IDs: map[string]bool{"s1": true}})
+				names := make(map[string]bool)
 				for j := range instances {
-					b.do(traffic.InstanceSeen{Instance: traffic.Instance{Name: fmt.Sprintf("front-%d", j)}})
+					name := fmt.Sprintf("front-%d", j)
+					names[name] = true
+					b.do(traffic.InstanceSeen{Instance: traffic.Instance{Name: name}})
 				}
+				b.do(traffic.InstancesListed{Names: names})
 				for k := range 50 {
 					_, effects := b.after(10*time.Millisecond).ask("/look/1", fmt.Sprint(k))
 					if send, ok := find[traffic.Send](effects); ok {
@@ -408,3 +412,29 @@
 		b.end(b.mustSend(effects), good())
 	}
 }
+
+// Before the other instances are known, an instance would take their shares of
+// cold servers, repeats and connections.
+func TestNotInformedWithoutTheInstances(t *testing.T) {
+	b := newBench(t, "front-1", "a1")
+	b.do(traffic.PolicySeen{Policy: policy(1)})
+	b.do(traffic.UpstreamSeen{Upstream: server("s1", "a1")})
+	b.do(traffic.UpstreamsListed{IDs: map[string]bool{"s1": true}})
+	b.do(traffic.ServingStarted{})
+	assert.Assert(t, !b.Ready())
+	b.do(traffic.InstancesListed{Names: map[string]bool{"front-1": true}})
+	assert.Assert(t, b.Ready())
+}
+
+// What a server refuses for what the request is goes back to the caller.
+func TestFaultyRequestIsNotSentOn(t *testing.T) {
+	b := informed(t, server("s1", "a1"), server("s2", "a2"))
+	_, effects := b.ask("/look/1", "7")
+	refused := traffic.Outcome{Fate: traffic.NotRun, Reply: traffic.Reply{Status: 400, NotRun: true}}
+	effects = b.end(b.mustSend(effects), refused)
+	delivered, ok := find[traffic.Deliver](effects)
+	assert.Assert(t, ok)
+	assert.Equal(t, delivered.Reply.Status, 400)
+	_, again := find[traffic.Send](effects)
+	assert.Assert(t, !again)
+}
--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -123,7 +123,6 @@
 		}
 	}
 	v.servers = kept
-	s.emit(traffic.Forget{ID: u.ID})
 	s.recordBelief("server left", attr("server", u.ID), attr("reason", reason), attr("revision", u.Revision))
 }
 
--- a/internal/traffic/effect.go
+++ b/internal/traffic/effect.go
@@ -58,9 +58,6 @@
 	Lifetime  time.Duration
 }
 
-// Forget closes what is open towards a server.
-type Forget struct{ ID string }
-
 // Record is one structured log line.
 type Record struct {
 	Level   slog.Level
@@ -77,7 +74,6 @@
 func (Deliver) effect() {}
 func (Answer) effect()  {}
 func (Named) effect()   {}
-func (Forget) effect()  {}
 func (Record) effect()  {}
 
 // Reannounce says that this instance's record is missing in the store.
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -80,15 +80,12 @@
 
 // Reasons of an instance's own answers.
 const (
-	NoRoute       Refusal = "no_route"
-	NoPolicy      Refusal = "no_policy"
-	NoServer      Refusal = "no_server"
-	Overloaded    Refusal = "overloaded"
-	TooLate       Refusal = "too_late"
-	Interrupted   Refusal = "interrupted"
-	NoRetries     Refusal = "no_retries"
-	TooLarge      Refusal = "too_large"
-	BadRequest    Refusal = "bad_request"
-	ShiftLimit    Refusal = "shift_limit"
-	StillStarting Refusal = "starting"
+	NoRoute     Refusal = "no_route"
+	NoPolicy    Refusal = "no_policy"
+	NoServer    Refusal = "no_server"
+	Overloaded  Refusal = "overloaded"
+	TooLate     Refusal = "too_late"
+	Interrupted Refusal = "interrupted"
+	TooLarge    Refusal = "too_large"
+	BadRequest  Refusal = "bad_request"
 )
--- a/internal/traffic/settings.go
+++ b/internal/traffic/settings.go
@@ -35,11 +35,10 @@
 	// ReturnWait is how long servers whose records lapsed while the store was
 	// away are waited for after its return.
 	ReturnWait model.Duration `json:"return_wait"`
-	// RetryRatio is the number of repeats that one request pays for within
-	// RetryWindow, summed over all instances; RetrySlack is added.
-	RetryRatio  float64        `json:"retry_ratio"`
-	RetryWindow model.Duration `json:"retry_window"`
-	RetrySlack  float64        `json:"retry_slack"`
+	// RetryRatio is the number of repeats that one request pays for, RetrySlack
+	// the number that all instances together may have saved up.
+	RetryRatio float64 `json:"retry_ratio"`
+	RetrySlack float64 `json:"retry_slack"`
 	// ColdFactor times a service's cold rate, plus ColdSlack, is what a cold
 	// server gets in any second, summed over all instances.
 	ColdFactor float64 `json:"cold_factor"`
