--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -45,8 +45,10 @@
 	// upstreamWait ends a quiet call of the store, so that a connection gone
 	// silent is noticed within the operators' bounds; the others are renewed
 	// as soon as one fails.
-	upstreamWait  = 3 * time.Second
-	operatorWait  = 10 * time.Second
+	upstreamWait = 3 * time.Second
+	operatorWait = 15 * time.Second
+	// operatorPause gathers orders that come in quick succession.
+	operatorPause = 600 * time.Millisecond
 	instanceWait  = 25 * time.Second
 	instancePause = 2 * time.Second
 	// pausePart of the time in which a leaving server may still get work is
@@ -164,7 +166,7 @@
 
 func (l *Launcher) follow(ctx context.Context) {
 	followers := []*follower.Follower{
-		{Subject: traffic.Operators, Wait: operatorWait},
+		{Subject: traffic.Operators, Wait: operatorWait, Pause: operatorPause},
 		{Subject: traffic.Upstreams, Wait: upstreamWait, Pause: l.Settings.Bounds.Drain.Duration * pausePart / 100},
 		{Subject: traffic.Instances, Wait: instanceWait, Pause: instancePause},
 	}
