Pass a promise on only where the server has made it

Cause, found by reading: a server's 408, 429 or 503 without its declaration that the request has not run was delivered as it came. Callers take these for a promise; work that must not run twice may have run.

Change: such answers count as of unknown fate: 502 for work that must not run twice, another server for the rest. Lines about unknown fates are warnings, and so bounded like all failures.

--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -44,6 +44,10 @@
 	}
 	switch e.Outcome.Fate {
 	case traffic.Ran:
+		if promisesNotRun(e.Outcome.Reply.Status) {
+			s.unknown(c, e.Outcome)
+			return
+		}
 		s.ran(c, e.Outcome.Reply)
 	case traffic.NotRun:
 		s.notRun(c, e.Outcome)
@@ -52,6 +56,16 @@
 	}
 }
 
+// promisesNotRun reports whether callers take a status for a promise that the
+// request has not run. A server that has not declared it may have run it.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // forget drops a call that has its answer and nothing under way.
 func (s *Steerer) forget(c *call) {
 	if len(c.open) == 0 {
@@ -144,8 +158,7 @@
 	c.arrivals++
 	c.runs++
 	c.unknown = true
-	s.recordBelief("attempt of unknown fate", attr("request", c.request.ID), attr("call", c.number),
-		attr("error", errorText(o.Err)), attr("took", o.Took))
+	s.recordUnknown(c, o)
 	if !c.route.Idempotent {
 		s.giveUp(c, traffic.Interrupted, 0)
 		return
--- a/internal/steerer/record.go
+++ b/internal/steerer/record.go
@@ -59,6 +59,18 @@
 	return append(attributes, attr("tried", fmt.Sprint(tried(c))))
 }
 
+// recordUnknown logs an attempt that may have run.
+func (s *Steerer) recordUnknown(c *call, o traffic.Outcome) {
+	s.emit(traffic.Record{
+		Level:   slog.LevelWarn,
+		Message: "attempt of unknown fate",
+		Attributes: []slog.Attr{
+			attr("request", c.request.ID), attr("call", c.number), attr("status", o.Reply.Status),
+			attr("error", errorText(o.Err)), attr("took", o.Took),
+		},
+	})
+}
+
 // recordHedge logs the second attempt beside one that is overdue.
 func (s *Steerer) recordHedge(c *call, a *attempt, choice choice) {
 	s.emit(traffic.Record{
--- a/internal/steerer/steerer_test.go
+++ b/internal/steerer/steerer_test.go
@@ -264,3 +264,16 @@
 	_, again := find[traffic.Send](effects)
 	assert.Assert(t, !again)
 }
+
+// A status that promises that nothing has run is passed on only where the
+// server has said so.
+func TestUndeclaredRefusalIsNoPromise(t *testing.T) {
+	for _, status := range []int{408, 429, 503} {
+		b := informed(t, server("s1", "a1"), server("s2", "a2"))
+		_, effects := b.ask("/order/1", "7")
+		effects = b.end(b.mustSend(effects), traffic.Outcome{Fate: traffic.Ran, Reply: traffic.Reply{Status: status, Signed: true}})
+		_, delivered := find[traffic.Deliver](effects)
+		assert.Assert(t, !delivered, status)
+		assert.Equal(t, b.mustAnswer(effects).Fate, traffic.Unknown)
+	}
+}
