Let an answer of the store take as long as its bytes arrive

A full read had 1.5 s for all of its pages, which a link of 10 Mbit/s or 110 ms of delay does not carry; it was begun anew each time.

Ruled out: longer timeouts. They would hide a silent store's return.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -20,13 +20,13 @@
 )
 
 const (
-	// callTimeout bounds a full read, and followTimeout the store's answer
-	// beyond the time that it may wait.
+	// callTimeout is how long a full read goes on without progress, followTimeout
+	// the same for changes, beyond the time that the store may wait.
 	callTimeout   = 1500 * time.Millisecond
 	followTimeout = 900 * time.Millisecond
 	// retryDelay is the mean pause after a failed call.
 	retryDelay = 250 * time.Millisecond
-	// probeTimeout bounds calls while the store is away: one that hangs must
+	// probeTimeout holds for calls while the store is away: one that hangs must
 	// not hide its return.
 	probeTimeout = 700 * time.Millisecond
 	// probeWait is the shortest wait that a call may ask for.
@@ -114,9 +114,7 @@
 		timeout, wait = f.probe(), probeWait
 	}
 	if !known {
-		ctx, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
-		return f.Store.Read(ctx, f.Subject)
+		return f.Store.Read(ctx, f.Subject, timeout)
 	}
 	switch {
 	case f.lost:
@@ -125,12 +123,12 @@
 	default:
 		timeout = followTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+timeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	f.mutex.Lock()
 	f.cancel = cancel
 	f.mutex.Unlock()
-	return f.Store.Follow(ctx, f.Subject, f.revision, wait)
+	return f.Store.Follow(ctx, f.Subject, f.revision, wait, wait+timeout)
 }
 
 // probe alternates between a short timeout and the full one, which a slow store
--- a/internal/traffic/boundary.go
+++ b/internal/traffic/boundary.go
@@ -33,12 +33,13 @@
 	Rejected []error
 }
 
-// Store is the platform's store.
+// Store is the platform's store. A patience is how long a call goes on without
+// a byte of its answer; an answer that is large for its link takes longer.
 type Store interface {
 	// Read returns all of a subject; the last event lists what is there.
-	Read(ctx context.Context, subject Subject) (News, error)
+	Read(ctx context.Context, subject Subject, patience time.Duration) (News, error)
 	// Follow waits for changes after a revision.
-	Follow(ctx context.Context, subject Subject, after int64, wait time.Duration) (News, error)
+	Follow(ctx context.Context, subject Subject, after int64, wait, patience time.Duration) (News, error)
 	// Grant makes a lease of a length.
 	Grant(ctx context.Context, length time.Duration) (lease int64, err error)
 	// Renew starts the lease's length anew.
