Do not lose the news that the own record is missing

News of the missing record that came while the lease was being renewed was overwritten when that call ended, and no other came.

Ruled out: a slow machine: nothing else ran, and the flag's path shows the loss (TestReannouncedDuringARenewal failed first).

Change: such news is counted; a record counts as written only if none came during the call.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -42,6 +42,9 @@
 	failed bool
 	// written is set once the record lies in the store under the lease.
 	written bool
+	// asked counts the requests to write the record anew; one that comes during
+	// a call is not lost.
+	asked int
 }
 
 func (r *Registrar) start() {
@@ -74,6 +77,7 @@
 	r.start()
 	r.mutex.Lock()
 	r.written = false
+	r.asked++
 	r.mutex.Unlock()
 	select {
 	case r.wake <- struct{}{}:
@@ -109,7 +113,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	r.mutex.Lock()
-	lease, written, instance := r.lease, r.written, r.Instance
+	lease, written, instance, asked := r.lease, r.written, r.Instance, r.asked
 	r.mutex.Unlock()
 	var err error
 	switch {
@@ -129,7 +133,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.lease = lease
-	r.written = written && instance == r.Instance
+	r.written = written && asked == r.asked
 	return err
 }
 
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -23,6 +23,8 @@
 	away    bool
 	record  *traffic.Instance
 	renewed int
+	// during, if set, is called once while a lease is renewed.
+	during func()
 }
 
 var errAway = errors.New("away")
@@ -39,6 +41,10 @@
 }
 
 func (s *fakeStore) Renew(_ context.Context, lease int64) error {
+	if during := s.during; during != nil {
+		s.during = nil
+		during()
+	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	switch {
@@ -132,3 +138,25 @@
 		synctest.Wait()
 	})
 }
+
+// The news that the record is missing may come while the lease is renewed.
+func TestReannouncedDuringARenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &fakeStore{}
+		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler)}
+		go r.Run(ctx)
+		synctest.Wait()
+		store.during = func() {
+			store.mutex.Lock()
+			store.record = nil
+			store.mutex.Unlock()
+			r.Reannounce()
+		}
+		time.Sleep(3 * renewInterval)
+		synctest.Wait()
+		assert.Assert(t, store.there() != nil, "the record was not written again")
+		cancel()
+		synctest.Wait()
+	})
+}
