--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -41,8 +41,11 @@
 }
 
 func (s *fakeStore) Renew(_ context.Context, lease int64) error {
-	if during := s.during; during != nil {
-		s.during = nil
+	s.mutex.Lock()
+	during := s.during
+	s.during = nil
+	s.mutex.Unlock()
+	if during != nil {
 		during()
 	}
 	s.mutex.Lock()
@@ -97,6 +100,7 @@
 		synctest.Wait()
 		assert.Equal(t, store.there().Name, "front-1")
 		time.Sleep(20 * time.Second)
+		synctest.Wait()
 		assert.Assert(t, store.renewed >= 9)
 
 		store.end()
@@ -147,12 +151,14 @@
 		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler)}
 		go r.Run(ctx)
 		synctest.Wait()
+		store.mutex.Lock()
 		store.during = func() {
 			store.mutex.Lock()
 			store.record = nil
 			store.mutex.Unlock()
 			r.Reannounce()
 		}
+		store.mutex.Unlock()
 		time.Sleep(3 * renewInterval)
 		synctest.Wait()
 		assert.Assert(t, store.there() != nil, "the record was not written again")
