Use the budgeter as it is; drop a check that cannot fail

Found by reading the change: a type that only wrapped the budgeter, and a test of the last answer for not having run, which is kept only after it has run.

--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -148,7 +148,7 @@
 func (s *Steerer) giveUp(c *call, reason traffic.Refusal, retryAfter time.Duration) {
 	delete(s.calls, c.number)
 	switch {
-	case c.last != nil && !c.last.NotRun:
+	case c.last != nil:
 		s.deliver(c, *c.last)
 	case c.unknown:
 		s.refuse(c, traffic.Interrupted, traffic.Unknown, 0)
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/yuccathread/yuccathread/internal/budgeter"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -22,11 +21,6 @@
 	minTimeLeft = 2
 )
 
-// retryBudget bounds the repeats towards a service.
-type retryBudget struct {
-	budgeter.Budgeter
-}
-
 func (s *Steerer) ended(e traffic.Ended) {
 	c := s.calls[e.Call]
 	if c == nil {
--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/budgeter"
 	"github.com/yuccathread/yuccathread/internal/ejector"
 	"github.com/yuccathread/yuccathread/internal/pacer"
 	"github.com/yuccathread/yuccathread/internal/placer"
@@ -31,7 +32,8 @@
 type service struct {
 	placer  placer.Placer
 	servers []*upstream
-	budget  retryBudget
+	// budget bounds the repeats towards the service.
+	budget budgeter.Budgeter
 	// shares is the part of the own callers' objects that each region takes.
 	shares   map[string]float64
 	sharesAt time.Time
