Read a backlog of the store's changes without pauses

Cause: an answer about changes holds at most 500 of them. Ruled out: a silent connection (all 25 instances that had been turned away were late, the others not), the wait for lapsed records (the server was draining, not gone).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -42,7 +42,8 @@
 	Logger *slog.Logger
 	// Wait is how long one call may wait for changes.
 	Wait time.Duration
-	// Pause is the time between two calls, in which changes gather.
+	// Pause is the time between two calls, in which changes gather; a backlog
+	// is read without pauses.
 	Pause time.Duration
 	// Suspect, if set, is called when a call has failed or found its history
 	// dropped, so that the calls of other followers that wait on the same store
@@ -104,7 +105,9 @@
 		}
 		known = true
 		f.take(news)
-		sleep(ctx, f.Pause)
+		if !news.More {
+			sleep(ctx, f.Pause)
+		}
 	}
 }
 
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -181,3 +181,42 @@
 		assert.Equal(t, renewed, 1)
 	})
 }
+
+// backlogStore has more changes than one answer holds.
+type backlogStore struct {
+	fakeStore
+	pieces int
+}
+
+func (s *backlogStore) Follow(ctx context.Context, subject traffic.Subject, after int64, wait, patience time.Duration) (traffic.News, error) {
+	if s.pieces == 0 {
+		return s.fakeStore.Follow(ctx, subject, after, wait, patience)
+	}
+	s.pieces--
+	gone := traffic.UpstreamGone{ID: "s"}
+	return traffic.News{Revision: after + 1, Events: []traffic.Event{gone}, More: s.pieces > 0}, nil
+}
+
+// An outage leaves more changes than one answer holds: the last of them must
+// not wait for a pause after each piece, since a server among them may leave.
+func TestBacklogIsReadWithoutPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		started := time.Now()
+		gone, last := 0, time.Duration(0)
+		f := Follower{
+			Store: &backlogStore{pieces: 4}, Subject: traffic.Upstreams, Logger: slog.New(slog.DiscardHandler),
+			Wait: 3 * time.Second, Pause: 2 * time.Second,
+			Do: func(e traffic.Event) {
+				if _, ok := e.(traffic.UpstreamGone); ok {
+					gone++
+					last = time.Since(started)
+				}
+			},
+		}
+		f.Run(ctx)
+		assert.Equal(t, gone, 4)
+		assert.Assert(t, last <= f.Pause, "the last change was taken in after %v", last)
+	})
+}
--- a/internal/traffic/boundary.go
+++ b/internal/traffic/boundary.go
@@ -29,6 +29,8 @@
 	Events []Event
 	// Revision is where to go on.
 	Revision int64
+	// More is set where the answer may hold only a part of what has changed.
+	More bool
 	// Rejected are records that could not be read, each with the reason.
 	Rejected []error
 }
