Log what decided a choice; do not take the second server for the first

Cause: a request's line named the servers tried, in the random order of a map, but not what decided: the time expected, the load believed and the age of its report. A refusal named nothing but its reason. Lines about other instances held the key `instance` twice, so that readers of JSON saw either.

Change: a choice carries its estimate (expected, at hand, load, age); the lines of answers, refusals and second attempts print the newest. Lines about instances say `peer`.

--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -33,6 +33,9 @@
 	runs     int
 	open     []*attempt
 	tried    map[string]bool
+	// servers are those that were tried, in order; choice is the newest.
+	servers []string
+	choice  choice
 	// unknown is set once an attempt's fate is unknown.
 	unknown bool
 	// last is the newest whole answer that was not good enough to deliver.
@@ -44,12 +47,10 @@
 
 // attempt is a call at one server.
 type attempt struct {
-	number   int
-	server   *upstream
-	sentAt   time.Time
-	expected time.Duration
-	// known is set where the server is expected to have the object at hand.
-	known bool
+	number int
+	server *upstream
+	sentAt time.Time
+	estimate
 }
 
 // take removes an attempt from those under way; nil where there is none.
@@ -97,6 +98,7 @@
 func (s *Steerer) try(c *call) {
 	choice := s.place(c)
 	if choice.server == nil {
+		c.choice = choice
 		s.giveUp(c, choice.refusal, choice.retryAfter)
 		return
 	}
@@ -108,9 +110,11 @@
 	u := choice.server
 	c.attempts++
 	c.open = append(c.open, &attempt{
-		number: c.attempts, server: u, sentAt: s.now, expected: choice.expected, known: choice.known,
+		number: c.attempts, server: u, sentAt: s.now, estimate: choice.estimate,
 	})
+	c.choice = choice
 	c.tried[u.ID] = true
+	c.servers = append(c.servers, u.ID)
 	if s.cold(u) {
 		u.pacer.Take(s.now, s.coldShare(u))
 	}
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -59,7 +59,7 @@
 func (s *Steerer) instanceSeen(i traffic.Instance) {
 	known := s.instances.records[i.Name]
 	if known == nil || known.Incarnation != i.Incarnation || known.Leaving != i.Leaving {
-		s.recordBelief("instance seen", attr("instance", i.Name), attr("incarnation", i.Incarnation), attr("leaving", i.Leaving))
+		s.recordBelief("instance seen", attr("peer", i.Name), attr("incarnation", i.Incarnation), attr("leaving", i.Leaving))
 	}
 	s.instances.records[i.Name] = &member{Instance: i}
 	s.instances.count(s.now)
@@ -87,7 +87,7 @@
 	for name, known := range s.instances.records {
 		if known.gone && !s.now.Before(known.goneUntil) {
 			delete(s.instances.records, name)
-			s.recordBelief("instance gone", attr("instance", name), attr("incarnation", known.Incarnation))
+			s.recordBelief("instance gone", attr("peer", name), attr("incarnation", known.Incarnation))
 		}
 	}
 }
--- a/internal/steerer/record.go
+++ b/internal/steerer/record.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/traffic"
@@ -52,11 +53,16 @@
 		return append(attributes, attr("host", c.request.Host), attr("path", c.request.Path))
 	}
 	attributes = append(attributes, attr("route", c.route.Name), attr("service", c.service),
-		attr("object", c.request.Object), attr("limit", c.until.Sub(c.read)), attr("attempts", c.attempts))
+		attr("object", c.request.Object), attr("limit", c.until.Sub(c.read)), attr("attempts", c.attempts),
+		attr("eligible", c.choice.eligible))
+	if c.choice.eligible > 0 {
+		attributes = append(attributes, attr("expected", c.choice.expected), attr("at_hand", c.choice.known),
+			attr("server_load", math.Round(c.choice.load*10)/10), attr("load_age", c.choice.loadAge))
+	}
 	if c.attempts == 0 {
 		return attributes
 	}
-	return append(attributes, attr("tried", fmt.Sprint(tried(c))))
+	return append(attributes, attr("tried", fmt.Sprint(c.servers)))
 }
 
 // recordUnknown logs an attempt that may have run.
@@ -77,15 +83,7 @@
 		Level:    slog.LevelInfo,
 		Message:  "second attempt",
 		Frequent: true,
-		Attributes: append(s.describe(c), attr("overdue", a.server.ID), attr("expected", a.expected),
+		Attributes: append(s.describe(c), attr("overdue", a.server.ID),
 			attr("waited", s.now.Sub(a.sentAt)), attr("server", choice.server.ID)),
 	})
 }
-
-func tried(c *call) []string {
-	names := make([]string, 0, len(c.tried))
-	for name := range c.tried {
-		names = append(names, name)
-	}
-	return names
-}
