Send a second attempt also to a server that must learn the object

The first may never answer; half of the usual time left is bound enough (mayRepeat), within the shared budget.

Test: TestSecondAttemptAtAServerWithoutTheObject, failing before.

--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -185,8 +185,8 @@
 }
 
 // overdue takes a server for slow that has not answered in time. An idempotent
-// request is sent to a second server beside it if that one is expected to
-// answer in time; the first good answer counts.
+// request is sent to a second server beside it while there is time for an
+// answer (see mayRepeat); the first good one counts.
 func (s *Steerer) overdue(e traffic.Overdue) {
 	c := s.calls[e.Call]
 	if c == nil || c.answered {
@@ -205,7 +205,7 @@
 		return
 	}
 	choice := s.place(c)
-	if choice.server == nil || choice.expected > c.until.Sub(s.now) || !s.mayRepeat(c, true) {
+	if choice.server == nil || !s.mayRepeat(c, true) {
 		return
 	}
 	s.recordHedge(c, a, choice)
--- a/internal/steerer/steerer_test.go
+++ b/internal/steerer/steerer_test.go
@@ -277,3 +277,19 @@
 		assert.Equal(t, b.mustAnswer(effects).Fate, traffic.Unknown)
 	}
 }
+
+// A second attempt is made while its server may still answer in time, even if
+// it would have to learn the object: the first may never answer.
+func TestSecondAttemptAtAServerWithoutTheObject(t *testing.T) {
+	b := informed(t, server("s1", "a1"), server("s2", "a2"))
+	for range 20 {
+		_, effects := b.after(10*time.Millisecond).ask("/look/1", "7")
+		b.end(b.mustSend(effects), good())
+	}
+	_, effects := b.ask("/look/1", "7")
+	first := b.mustSend(effects)
+	// 400 ms are left: less than an unknown object takes, more than a known one.
+	effects = b.after(1600 * time.Millisecond).do(traffic.Overdue{Call: first.Call, Attempt: first.Attempt})
+	second := b.mustSend(effects)
+	assert.Assert(t, second.Upstream.ID != first.Upstream.ID)
+}
