Let the trials' tests end what they cut off

Cause: the tests let requests expire without the outcome that the carrier gives once it has cut them off, so that they stayed in flight at the server. The code is as it was.

--- a/internal/steerer/trial_test.go
+++ b/internal/steerer/trial_test.go
@@ -14,15 +14,15 @@
 func silence(t *testing.T) *bench {
 	t.Helper()
 	b := informed(t, server("s1", "a1"))
-	var calls []uint64
+	var sends []traffic.Send
 	for range 2 {
-		call, effects := b.ask("/order/1", "7")
-		b.mustSend(effects)
-		calls = append(calls, call)
+		_, effects := b.ask("/order/1", "7")
+		sends = append(sends, b.mustSend(effects))
 	}
 	b.after(2 * time.Second)
-	for _, call := range calls {
-		b.do(traffic.Expired{Call: call})
+	for _, send := range sends {
+		b.do(traffic.Expired{Call: send.Call})
+		b.end(send, traffic.Outcome{Fate: traffic.Unknown, Err: context.Canceled})
 	}
 	return b
 }
