Keep a connection ready to another region where opening one costs the aim

Change: a Send says how many idle connections to keep ready; the forwarder opens them in the background, within the bound of connections. One, where one and a half times the mean work and two round trips exceed the target; none in the own region.

Tests: TestSpareConnections of the forwarder (opened beside, taken, bounded) and of the reducer; neither compiles without the change.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -56,6 +56,8 @@
 type server struct {
 	idle []*connection
 	open int
+	// opening is the number of spare connections on their way.
+	opening int
 }
 
 // Exchange sends a request to a server and waits for its whole answer, until
@@ -103,6 +105,7 @@
 func (f *Forwarder) connect(ctx context.Context, send traffic.Send) (*connection, error) {
 	key := send.Upstream.ID + " " + send.Upstream.Address
 	c, err := f.take(key, send)
+	f.prepare(key, send)
 	if c != nil || err != nil {
 		return c, err
 	}
@@ -111,8 +114,13 @@
 		f.released(key)
 		return nil, errLate
 	}
+	return f.dial(ctx, key, send.Upstream.Address, timeout)
+}
+
+// dial opens a connection for which room has been made.
+func (f *Forwarder) dial(ctx context.Context, key, address string, timeout time.Duration) (*connection, error) {
 	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1}
-	raw, err := dialer.DialContext(ctx, "tcp", send.Upstream.Address)
+	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		f.released(key)
 		return nil, fmt.Errorf("forwarder: %w", err)
@@ -120,11 +128,37 @@
 	if f.Opened != nil {
 		f.Opened()
 	}
-	c = newConnection(f, key, raw)
+	c := newConnection(f, key, raw)
 	go c.read()
 	return c, nil
 }
 
+// prepare opens idle connections in the background where fewer than the spare
+// ones are left.
+func (f *Forwarder) prepare(key string, send traffic.Send) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	s := f.servers[key]
+	if s == nil {
+		return
+	}
+	for len(s.idle)+s.opening < send.Spare && (send.Connections <= 0 || s.open < send.Connections) {
+		s.open++
+		s.opening++
+		go f.openSpare(key, s, send.Upstream.Address)
+	}
+}
+
+func (f *Forwarder) openSpare(key string, s *server, address string) {
+	c, err := f.dial(context.Background(), key, address, connectTimeout)
+	f.mutex.Lock()
+	s.opening--
+	f.mutex.Unlock()
+	if err == nil {
+		f.put(c)
+	}
+}
+
 // take returns an idle connection that is young enough, or nil after it has
 // made room for a new one.
 func (f *Forwarder) take(key string, send traffic.Send) (*connection, error) {
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -319,3 +319,44 @@
 	assert.Equal(t, use("4"), traffic.Ran)
 	assert.Equal(t, s.connections.Load(), before)
 }
+
+// eventually waits until a server has seen a number of connections, and checks
+// that no more follow.
+func eventually(t *testing.T, s *fakeServer, connections int64) {
+	t.Helper()
+	for range 200 {
+		if s.connections.Load() == connections {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, s.connections.Load(), connections)
+}
+
+// A spare connection is opened beside the first request, and taken by the
+// next one that finds the first connection busy.
+func TestSpareConnections(t *testing.T) {
+	release := make(chan struct{})
+	s := serve(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		if r.Header.Get("X-Id") == "busy" {
+			<-release
+		}
+		say(conn, r.Header.Get("X-Id"), "done")
+		return true
+	})
+	f := newForwarder(t)
+	exchange := func(id string, connections int) traffic.Outcome {
+		return f.Exchange(t.Context(), traffic.Request{ID: id, Method: "GET", Target: "/", Host: "shop.example"}, traffic.Send{
+			Upstream: traffic.Upstream{ID: "s1", Address: s.address}, Deadline: time.Now().Add(5 * time.Second),
+			Connections: connections, Spare: 1, Idempotent: true,
+		})
+	}
+	first := make(chan traffic.Outcome)
+	go func() { first <- exchange("busy", 2) }()
+	eventually(t, s, 2)
+	assert.Equal(t, exchange("next", 2).Fate, traffic.Ran)
+	eventually(t, s, 2)
+	close(release)
+	assert.Equal(t, (<-first).Fate, traffic.Ran)
+}
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -15,6 +15,10 @@
 	maxRetryAfter = 2 * time.Second
 	// startRetryAfter is told until the policy and the servers are known.
 	startRetryAfter = 300 * time.Millisecond
+	// slowerPercent of the mean time covers most answers.
+	slowerPercent = 150
+	// spareConnections to a server in another region are opened before they are needed.
+	spareConnections = 1
 )
 
 // call is a request without a final answer.
@@ -125,12 +129,23 @@
 		Attempt:     c.attempts,
 		Upstream:    u.Upstream,
 		Connections: s.connections(c.service),
+		Spare:       s.spare(c, u),
 		Deadline:    c.until,
 		Idempotent:  c.route.Idempotent,
 	})
 	s.emit(traffic.Watch{Call: c.number, Attempt: c.attempts, After: patience(choice.expected)})
 }
 
+// spare is the number of idle connections to keep ready to a server of another
+// region: one where the time to open it would make a slower answer late.
+func (s *Steerer) spare(c *call, u *upstream) int {
+	slower := c.route.times.expect(true) * slowerPercent / 100
+	if u.region == s.Self.Region || slower+2*regionDelay <= c.route.Target {
+		return 0
+	}
+	return spareConnections
+}
+
 func objectKey(c *call) string {
 	if c.request.Object == "" {
 		return ""
--- a/internal/steerer/steerer_test.go
+++ b/internal/steerer/steerer_test.go
@@ -293,3 +293,28 @@
 	second := b.mustSend(effects)
 	assert.Assert(t, second.Upstream.ID != first.Upstream.ID)
 }
+
+// Opening a connection to another region takes as long as the way there and
+// back: one is kept ready where that would make the answer late.
+func TestSpareConnections(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		domain string
+		target time.Duration
+		spare  int
+	}{
+		{"own region", "a2", 250 * time.Millisecond, 0},
+		{"late by a new connection", "b1", 250 * time.Millisecond, 1},
+		{"time enough", "b1", time.Second, 0},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			b := informed(t, server("s1", x.domain))
+			p := policy(2)
+			p.Routes[0].Name = "tight"
+			p.Routes[0].Target = x.target
+			b.do(traffic.PolicySeen{Policy: p})
+			_, effects := b.ask("/look/1", "7")
+			assert.Equal(t, b.mustSend(effects).Spare, x.spare)
+		})
+	}
+}
--- a/internal/traffic/effect.go
+++ b/internal/traffic/effect.go
@@ -18,7 +18,9 @@
 	Upstream Upstream
 	// Connections bounds this instance's connections to the server.
 	Connections int
-	Deadline    time.Time
+	// Spare is the number of idle connections to have ready beside the one in use.
+	Spare    int
+	Deadline time.Time
 	// Idempotent requests may use connections that were idle for long.
 	Idempotent bool
 }
