Follow the whole store with one watch

Change: one read and one watch over all keys. Subjects, the sharing of suspicion between followers and the separate waits go; the pause is 0.55 of the shorter of the drain and the configuration bound (new setting `bounds.apply`). After a full read the first watch is made at once.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -1,10 +1,11 @@
-// Package follower keeps an instance's beliefs in step with one subject of the
-// store: it reads the subject in full, then waits for changes, and starts over
-// when the store has dropped the history in between.
+// Package follower keeps an instance's beliefs in step with the store: it reads
+// all records, then waits for changes, and starts over when the store has
+// dropped the history in between. One call waits at a time, whatever there is
+// to follow, since each call has its price.
 //
 // Usage:
 //
-//	f := &follower.Follower{Store: store, Subject: traffic.Upstreams, Do: carrier.Do, Logger: logger}
+//	f := &follower.Follower{Store: store, Do: carrier.Do, Logger: logger, Wait: wait, Pause: pause}
 //	f.Run(ctx)
 package follower
 
@@ -13,7 +14,6 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/traffic"
@@ -33,10 +33,9 @@
 	probeWait = time.Millisecond
 )
 
-// Follower follows one subject. Set the fields before Run.
+// Follower follows the store. Set the fields before Run.
 type Follower struct {
-	Store   traffic.Store
-	Subject traffic.Subject
+	Store traffic.Store
 	// Do takes in events.
 	Do     func(traffic.Event)
 	Logger *slog.Logger
@@ -45,93 +44,47 @@
 	// Pause is the time between two calls, in which changes gather; a backlog
 	// is read without pauses.
 	Pause time.Duration
-	// Suspect, if set, is called when a call has failed or found its history
-	// dropped, so that the calls of other followers that wait on the same store
-	// are made anew.
-	Suspect func()
 
 	revision int64
+	known    bool
 	lost     bool
 	probes   int
-	// checks is set while a call finds out whether the store still answers.
-	checks bool
-
-	mutex sync.Mutex
-	// cancel ends the call that waits for changes.
-	cancel context.CancelFunc
-	// renewed is set where the next call is to find out whether the store answers.
-	renewed bool
-}
-
-// Renew ends a call that waits for changes; the next one is made at once.
-func (f *Follower) Renew() {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if f.cancel != nil {
-		f.renewed = true
-		f.cancel()
-	}
 }
 
-// takeRenewed reports whether Renew was called since the last time.
-func (f *Follower) takeRenewed() bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	renewed := f.renewed
-	f.renewed = false
-	return renewed
-}
-
-// Run follows the subject until ctx ends.
+// Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	known := false
-	for ctx.Err() == nil {
-		news, err := f.next(ctx, known)
+	for {
+		news, err := f.next(ctx)
 		switch {
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, context.Canceled):
-			f.checks = f.takeRenewed()
-			continue
 		case errors.Is(err, traffic.ErrHistoryLost):
-			f.Logger.Info("store history dropped", "subject", string(f.Subject), "revision", f.revision)
-			known = false
-			f.suspect()
-			continue
+			f.Logger.Info("store history dropped", "revision", f.revision)
+			f.known = false
 		case err != nil:
 			f.fail(err)
 			sleep(ctx, retryDelay/2+rand.N(retryDelay))
-			continue
-		}
-		known = true
-		f.take(news)
-		if !news.More {
-			sleep(ctx, f.Pause)
+		default:
+			f.take(news)
+			if f.known && !news.More {
+				sleep(ctx, f.Pause)
+			}
+			f.known = true
 		}
 	}
 }
 
-func (f *Follower) next(ctx context.Context, known bool) (traffic.News, error) {
-	timeout, wait := callTimeout, f.Wait
-	if f.lost {
-		timeout, wait = f.probe(), probeWait
-	}
-	if !known {
-		return f.Store.Read(ctx, f.Subject, timeout)
-	}
+// next reads in full at first and where the history was dropped, else follows.
+func (f *Follower) next(ctx context.Context) (traffic.News, error) {
 	switch {
+	case !f.known && f.lost:
+		return f.Store.Read(ctx, f.probe())
+	case !f.known:
+		return f.Store.Read(ctx, callTimeout)
 	case f.lost:
-	case f.checks:
-		timeout, wait = probeTimeout, probeWait
-	default:
-		timeout = followTimeout
+		return f.Store.Follow(ctx, f.revision, probeWait, probeWait+f.probe())
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	f.mutex.Lock()
-	f.cancel = cancel
-	f.mutex.Unlock()
-	return f.Store.Follow(ctx, f.Subject, f.revision, wait, wait+timeout)
+	return f.Store.Follow(ctx, f.revision, f.Wait, f.Wait+followTimeout)
 }
 
 // probe alternates between a short timeout and the full one, which a slow store
@@ -145,14 +98,13 @@
 }
 
 func (f *Follower) take(news traffic.News) {
-	f.checks = false
 	if f.lost {
 		f.lost = false
-		f.Do(traffic.StoreRegained{Subject: f.Subject})
+		f.Do(traffic.StoreRegained{})
 	}
 	f.revision = news.Revision
 	for _, err := range news.Rejected {
-		f.Logger.Warn("record rejected", "subject", string(f.Subject), "error", err.Error())
+		f.Logger.Warn("record rejected", "error", err.Error())
 	}
 	for _, e := range news.Events {
 		f.Do(e)
@@ -164,15 +116,7 @@
 		return
 	}
 	f.lost = true
-	f.checks = false
-	f.Do(traffic.StoreLost{Subject: f.Subject, Err: err})
-	f.suspect()
-}
-
-func (f *Follower) suspect() {
-	if f.Suspect != nil {
-		f.Suspect()
-	}
+	f.Do(traffic.StoreLost{Err: err})
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -42,18 +42,12 @@
 	// bodies of all together, as a divisor of the memory.
 	maxBodyBytes = 8 << 20
 	bodiesPart   = 4
-	// upstreamWait ends a quiet call of the store, so that a connection gone
-	// silent is noticed within the operators' bounds; the others are renewed
-	// as soon as one fails.
-	upstreamWait = 3 * time.Second
-	operatorWait = 15 * time.Second
-	// operatorPause gathers orders that come in quick succession.
-	operatorPause = 600 * time.Millisecond
-	instanceWait  = 25 * time.Second
-	instancePause = 2 * time.Second
-	// pausePart of the time in which a leaving server may still get work is
-	// waited between two calls about servers, in percent: the servers' reports
-	// gather meanwhile, and the rest is for a call that fails.
+	// followWait ends a quiet call of the store, so that a connection gone
+	// silent is noticed within the operators' bounds.
+	followWait = 3 * time.Second
+	// pausePart of the shortest time in which the store's news must be in force
+	// is waited between two calls, in percent: the servers' reports gather
+	// meanwhile, and the rest is for a call that fails.
 	pausePart = 55
 	// departurePeriod is how long callers may use an answer that names this
 	// instance: three times the lifetime of look-ups.
@@ -165,24 +159,15 @@
 }
 
 func (l *Launcher) follow(ctx context.Context) {
-	followers := []*follower.Follower{
-		{Subject: traffic.Operators, Wait: operatorWait, Pause: operatorPause},
-		{Subject: traffic.Upstreams, Wait: upstreamWait, Pause: l.Settings.Bounds.Drain.Duration * pausePart / 100},
-		{Subject: traffic.Instances, Wait: instanceWait, Pause: instancePause},
-	}
-	for _, f := range followers {
-		f.Suspect = func() {
-			for _, other := range followers {
-				other.Renew()
-			}
-		}
-	}
-	for _, f := range followers {
-		f.Store = l.Store
-		f.Do = l.carrier.Do
-		f.Logger = l.Logger
-		go f.Run(ctx)
+	bounds := l.Settings.Bounds
+	f := &follower.Follower{
+		Store:  l.Store,
+		Do:     l.carrier.Do,
+		Logger: l.Logger,
+		Wait:   followWait,
+		Pause:  min(bounds.Drain.Duration, bounds.Apply.Duration) * pausePart / 100,
 	}
+	go f.Run(ctx)
 }
 
 // listenControl serves readiness, look-ups and metrics.
--- a/internal/preparer/preparer.go
+++ b/internal/preparer/preparer.go
@@ -32,6 +32,7 @@
 		LogLines: 50,
 		Bounds: traffic.Bounds{
 			Drain:          seconds(2.5),
+			Apply:          seconds(2.5),
 			Grace:          seconds(6),
 			ReturnWait:     seconds(2),
 			RetryRatio:     0.2,
@@ -103,6 +104,7 @@
 		value float64
 	}{
 		{"/bounds/drain", b.Drain.Seconds()},
+		{"/bounds/apply", b.Apply.Seconds()},
 		{"/bounds/grace", b.Grace.Seconds()},
 		{"/bounds/shift_window", b.ShiftWindow.Seconds()},
 		{"/bounds/look_up_lifetime", b.LookUpLifetime.Seconds()},
--- a/internal/steerer/belief.go
+++ b/internal/steerer/belief.go
@@ -6,7 +6,7 @@
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
-// storeState is what is known about the store's answers on one subject.
+// storeState is what is known about the store's answers.
 type storeState struct {
 	away     bool
 	since    time.Time
@@ -14,33 +14,31 @@
 }
 
 func (s *Steerer) storeLost(e traffic.StoreLost) {
-	state := s.store[e.Subject]
-	if state.away {
+	if s.store.away {
 		return
 	}
-	s.store[e.Subject] = storeState{away: true, since: s.now}
-	s.recordBelief("store lost", attr("subject", string(e.Subject)), attr("error", e.Err.Error()))
+	s.store = storeState{away: true, since: s.now}
+	s.recordBelief("store lost", attr("error", e.Err.Error()))
 }
 
-func (s *Steerer) storeRegained(subject traffic.Subject) {
-	state := s.store[subject]
-	if !state.away {
+func (s *Steerer) storeRegained() {
+	if !s.store.away {
 		return
 	}
-	s.store[subject] = storeState{regained: s.now}
-	s.recordBelief("store regained", attr("subject", string(subject)), attr("away_for", s.now.Sub(state.since)))
+	away := s.now.Sub(s.store.since)
+	s.store = storeState{regained: s.now}
+	s.recordBelief("store regained", attr("away_for", away))
 }
 
 // doubtUntil returns until when the loss of a record may be the store's doing.
-func (s *Steerer) doubtUntil(subject traffic.Subject) time.Time {
-	state := s.store[subject]
-	if state.away {
+func (s *Steerer) doubtUntil() time.Time {
+	if s.store.away {
 		return s.now.Add(s.Settings.Bounds.ReturnWait.Duration)
 	}
-	if state.regained.IsZero() {
+	if s.store.regained.IsZero() {
 		return s.now
 	}
-	return state.regained.Add(s.Settings.Bounds.ReturnWait.Duration)
+	return s.store.regained.Add(s.Settings.Bounds.ReturnWait.Duration)
 }
 
 func (s *Steerer) evacuationSeen(domain string) {
@@ -62,8 +60,7 @@
 	s.recordBelief("evacuation ended", attr("failure_domain", domain))
 }
 
-func (s *Steerer) evacuationsListed(domains map[string]bool) {
-	s.listed[traffic.Operators] = true
+func (s *Steerer) listEvacuations(domains map[string]bool) {
 	for domain := range s.evacuated {
 		if !domains[domain] {
 			s.evacuationGone(domain)
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -75,13 +75,13 @@
 		return
 	}
 	known.gone = true
-	known.goneUntil = s.doubtUntil(traffic.Instances)
+	known.goneUntil = s.doubtUntil()
 	s.dropInstances()
 }
 
 // dropInstances removes instances whose records have not come back in time.
 func (s *Steerer) dropInstances() {
-	if s.store[traffic.Instances].away {
+	if s.store.away {
 		return
 	}
 	for name, known := range s.instances.records {
@@ -92,8 +92,8 @@
 	}
 }
 
-func (s *Steerer) instancesListed(names map[string]bool) {
-	s.listed[traffic.Instances] = true
+func (s *Steerer) listInstances(names map[string]bool) {
+	s.instancesListed = true
 	for name := range s.instances.records {
 		if !names[name] {
 			s.instanceGone(name)
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -39,8 +39,10 @@
 	services  map[string]*service
 	upstreams map[string]*upstream
 	evacuated map[string]bool
-	listed    map[traffic.Subject]bool
-	store     map[traffic.Subject]storeState
+	store     storeState
+	// upstreamsListed and instancesListed are set after the first full read.
+	upstreamsListed bool
+	instancesListed bool
 	// cooling are the domains whose evacuation has ended lately, with the time
 	// until which their servers may be cold unseen.
 	cooling   map[string]time.Time
@@ -79,8 +81,6 @@
 	s.upstreams = make(map[string]*upstream)
 	s.evacuated = make(map[string]bool)
 	s.cooling = make(map[string]time.Time)
-	s.listed = make(map[traffic.Subject]bool)
-	s.store = make(map[traffic.Subject]storeState)
 	s.calls = make(map[uint64]*call)
 	s.instances.start()
 }
@@ -119,23 +119,23 @@
 	case traffic.UpstreamGone:
 		s.upstreamGone(e.ID)
 	case traffic.UpstreamsListed:
-		s.upstreamsListed(e.IDs)
+		s.listUpstreams(e.IDs)
 	case traffic.EvacuationSeen:
 		s.evacuationSeen(e.Domain)
 	case traffic.EvacuationGone:
 		s.evacuationGone(e.Domain)
 	case traffic.EvacuationsListed:
-		s.evacuationsListed(e.Domains)
+		s.listEvacuations(e.Domains)
 	case traffic.InstanceSeen:
 		s.instanceSeen(e.Instance)
 	case traffic.InstanceGone:
 		s.instanceGone(e.Name)
 	case traffic.InstancesListed:
-		s.instancesListed(e.Names)
+		s.listInstances(e.Names)
 	case traffic.StoreLost:
 		s.storeLost(e)
 	case traffic.StoreRegained:
-		s.storeRegained(e.Subject)
+		s.storeRegained()
 	}
 }
 
@@ -155,7 +155,7 @@
 // Informed reports whether the policy, the servers and the instances are
 // known. Without the instances this one would take the shares of all.
 func (s *Steerer) Informed() bool {
-	return s.policy != nil && s.listed[traffic.Upstreams] && s.listed[traffic.Instances]
+	return s.policy != nil && s.upstreamsListed && s.instancesListed
 }
 
 // Limits returns what callers may send, as the policy in force says.
--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -139,7 +139,7 @@
 	u.gone = true
 	u.goneUntil = s.now
 	if !u.Draining {
-		u.goneUntil = s.doubtUntil(traffic.Upstreams)
+		u.goneUntil = s.doubtUntil()
 	}
 	if u.goneUntil.After(s.now) {
 		s.recordBelief("server record lapsed", attr("server", id), attr("kept_for", u.goneUntil.Sub(s.now)))
@@ -148,8 +148,8 @@
 	s.removeUpstream(u, "record removed")
 }
 
-func (s *Steerer) upstreamsListed(ids map[string]bool) {
-	s.listed[traffic.Upstreams] = true
+func (s *Steerer) listUpstreams(ids map[string]bool) {
+	s.upstreamsListed = true
 	for id := range s.upstreams {
 		if !ids[id] {
 			s.upstreamGone(id)
@@ -160,7 +160,7 @@
 // dropDoubtful removes servers whose records have not come back in time.
 func (s *Steerer) dropDoubtful() {
 	for _, u := range s.upstreams {
-		if u.gone && !s.now.Before(u.goneUntil) && !s.store[traffic.Upstreams].away {
+		if u.gone && !s.now.Before(u.goneUntil) && !s.store.away {
 			s.removeUpstream(u, "record did not return")
 		}
 	}
--- a/internal/traffic/boundary.go
+++ b/internal/traffic/boundary.go
@@ -7,24 +7,14 @@
 	"time"
 )
 
-// Subject is one part of the store that an instance follows.
-type Subject string
-
-// Subjects.
-const (
-	Operators Subject = "operators"
-	Upstreams Subject = "upstreams"
-	Instances Subject = "instances"
-)
-
 // ErrHistoryLost means that the store cannot tell what happened since a
-// revision; read the subject in full.
+// revision; read it in full.
 var ErrHistoryLost = errors.New("traffic: the store has dropped this history")
 
 // ErrLeaseEnded means that a lease is over and its records are gone.
 var ErrLeaseEnded = errors.New("traffic: the lease has ended")
 
-// News is what the store says about a subject.
+// News is what the store says.
 type News struct {
 	Events []Event
 	// Revision is where to go on.
@@ -38,10 +28,10 @@
 // Store is the platform's store. A patience is how long a call goes on without
 // a byte of its answer; an answer that is large for its link takes longer.
 type Store interface {
-	// Read returns all of a subject; the last event lists what is there.
-	Read(ctx context.Context, subject Subject, patience time.Duration) (News, error)
+	// Read returns all records; the last events list what is there.
+	Read(ctx context.Context, patience time.Duration) (News, error)
 	// Follow waits for changes after a revision.
-	Follow(ctx context.Context, subject Subject, after int64, wait, patience time.Duration) (News, error)
+	Follow(ctx context.Context, after int64, wait, patience time.Duration) (News, error)
 	// Grant makes a lease of a length.
 	Grant(ctx context.Context, length time.Duration) (lease int64, err error)
 	// Renew starts the lease's length anew.
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -71,14 +71,11 @@
 // InstancesListed says which instances a full read of the store found.
 type InstancesListed struct{ Names map[string]bool }
 
-// StoreLost says that the store has stopped answering about a subject.
-type StoreLost struct {
-	Subject Subject
-	Err     error
-}
+// StoreLost says that the store has stopped answering.
+type StoreLost struct{ Err error }
 
 // StoreRegained says that the store answers again.
-type StoreRegained struct{ Subject Subject }
+type StoreRegained struct{}
 
 // ServingStarted says that the callers' address is open.
 type ServingStarted struct{}
--- a/internal/traffic/settings.go
+++ b/internal/traffic/settings.go
@@ -30,6 +30,8 @@
 type Bounds struct {
 	// Drain is how long a leaving server may still get new work.
 	Drain model.Duration `json:"drain"`
+	// Apply is how soon a new configuration must be in force.
+	Apply model.Duration `json:"apply"`
 	// Grace is the time between the request to stop and a kill.
 	Grace model.Duration `json:"grace"`
 	// ReturnWait is how long servers whose records lapsed while the store was
