--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -9,12 +9,8 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -24,7 +20,6 @@
 
 	"github.com/yuccathread/yuccathread/internal/carrier"
 	"github.com/yuccathread/yuccathread/internal/clock"
-	"github.com/yuccathread/yuccathread/internal/exposer"
 	"github.com/yuccathread/yuccathread/internal/follower"
 	"github.com/yuccathread/yuccathread/internal/forwarder"
 	"github.com/yuccathread/yuccathread/internal/receiver"
@@ -49,17 +44,8 @@
 	// is waited between two calls, in percent: the servers' reports gather
 	// meanwhile, and the rest is for a call that fails.
 	pausePart = 55
-	// departurePeriod is how long callers may use an answer that names this
-	// instance: three times the lifetime of look-ups.
-	departurePeriod = 3200 * time.Millisecond
-	// exitMargin is kept of the grace period for the exit itself.
-	exitMargin = 400 * time.Millisecond
 	// failureLines bounds the lines a second about requests that failed.
 	failureLines = 200
-	// defaultHeaderTimeout and defaultIdleTimeout hold where the policy says none.
-	defaultHeaderTimeout = 3 * time.Second
-	defaultIdleTimeout   = 15 * time.Second
-	defaultHeaderBytes   = 16 << 10
 )
 
 // Launcher runs one instance. Set the exported fields before Run.
@@ -170,88 +156,6 @@
 	go f.Run(ctx)
 }
 
-// listenControl serves readiness, look-ups and metrics.
-func (l *Launcher) listenControl(failed chan<- error) error {
-	muxes := make(map[string]*http.ServeMux)
-	add := func(address, pattern string, handler http.Handler) {
-		if muxes[address] == nil {
-			muxes[address] = http.NewServeMux()
-		}
-		muxes[address].Handle(pattern, handler)
-	}
-	add(l.Settings.ReadyAddress, "GET "+l.ReadyPath, http.HandlerFunc(l.receiver.Ready))
-	add(l.Settings.LookUpAddress, "GET "+l.LookUpPath, http.HandlerFunc(l.receiver.LookUp))
-	add(l.Settings.MetricsAddress, "GET /metrics", &exposer.Exposer{Registry: l.registry, Prefix: "yuccathread_", Update: l.gauge})
-	for address, mux := range muxes {
-		server := &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
-		if err := l.serve(address, server, failed); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (l *Launcher) gauge() {
-	l.carrier.View(func(s *steerer.Steerer) {
-		metrics.GetOrRegisterGauge("in_flight", l.registry).Update(int64(s.InFlight()))
-		metrics.GetOrRegisterGauge("configuration_version", l.registry).Update(s.Version())
-	})
-}
-
-// listenWhenInformed opens the callers' address once requests can be served:
-// until then a caller's connection is refused, so that it goes elsewhere.
-func (l *Launcher) listenWhenInformed(ctx context.Context, failed chan error) (*http.Server, error) {
-	ticker := time.NewTicker(tickInterval / 5)
-	defer ticker.Stop()
-	for {
-		var limits traffic.Limits
-		informed := false
-		l.carrier.View(func(s *steerer.Steerer) { informed, limits = s.Informed(), s.Limits() })
-		if informed {
-			front := l.front(limits)
-			return front, l.serve(l.Settings.CallerAddress, front, failed)
-		}
-		select {
-		case <-ticker.C:
-		case err := <-failed:
-			return nil, err
-		case <-ctx.Done():
-			l.Logger.Info("stopped before serving")
-			return nil, nil
-		}
-	}
-}
-
-func (l *Launcher) front(limits traffic.Limits) *http.Server {
-	return &http.Server{
-		Handler:           http.HandlerFunc(l.receiver.Serve),
-		ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
-		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdleTimeout),
-		MaxHeaderBytes:    orDefault(limits.HeaderBytes, defaultHeaderBytes),
-		ErrorLog:          slog.NewLogLogger(l.Logger.Handler(), slog.LevelDebug),
-	}
-}
-
-func orDefault[T int | time.Duration](value, fallback T) T {
-	if value > 0 {
-		return value
-	}
-	return fallback
-}
-
-func (l *Launcher) serve(address string, server *http.Server, failed chan<- error) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return fmt.Errorf("launcher: %w", err)
-	}
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			failed <- fmt.Errorf("launcher: %w", err)
-		}
-	}()
-	return nil
-}
-
 // loop ticks until the instance is told to stop.
 func (l *Launcher) loop(ctx context.Context, failed <-chan error) error {
 	ticker := time.NewTicker(tickInterval)
@@ -273,26 +177,3 @@
 		}
 	}
 }
-
-// shutDown leaves gracefully: first look-ups stop naming this instance, then
-// new connections are refused, then the requests under way end.
-func (l *Launcher) shutDown(front *http.Server) {
-	started := l.Clock.Now()
-	l.receiver.Stopping.Store(true)
-	l.carrier.Do(traffic.StopRequested{})
-	l.registrar.Leave()
-	grace := l.Settings.Bounds.Grace.Duration
-	time.Sleep(min(departurePeriod, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-exitMargin))
-	defer cancel()
-	err := front.Shutdown(ctx)
-	cut := 0
-	l.carrier.View(func(s *steerer.Steerer) { cut = s.InFlight() })
-	l.registrar.Withdraw(ctx)
-	l.forwarder.Close()
-	if err != nil {
-		l.Logger.Warn("stopped", "cut_off", cut, "error", err.Error())
-		return
-	}
-	l.Logger.Info("stopped", "cut_off", cut)
-}
--- /dev/null
+++ b/internal/launcher/listener.go
@@ -0,0 +1,106 @@
+package launcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/yuccathread/yuccathread/internal/exposer"
+	"github.com/yuccathread/yuccathread/internal/steerer"
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+const (
+	// defaultHeaderTimeout and defaultIdleTimeout hold where the policy says none.
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
+	defaultHeaderBytes   = 16 << 10
+)
+
+// listenControl serves readiness, look-ups and metrics.
+func (l *Launcher) listenControl(failed chan<- error) error {
+	muxes := make(map[string]*http.ServeMux)
+	add := func(address, pattern string, handler http.Handler) {
+		if muxes[address] == nil {
+			muxes[address] = http.NewServeMux()
+		}
+		muxes[address].Handle(pattern, handler)
+	}
+	add(l.Settings.ReadyAddress, "GET "+l.ReadyPath, http.HandlerFunc(l.receiver.Ready))
+	add(l.Settings.LookUpAddress, "GET "+l.LookUpPath, http.HandlerFunc(l.receiver.LookUp))
+	add(l.Settings.MetricsAddress, "GET /metrics", &exposer.Exposer{Registry: l.registry, Prefix: "yuccathread_", Update: l.gauge})
+	for address, mux := range muxes {
+		server := &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+		if err := l.serve(address, server, failed); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Launcher) gauge() {
+	l.carrier.View(func(s *steerer.Steerer) {
+		metrics.GetOrRegisterGauge("in_flight", l.registry).Update(int64(s.InFlight()))
+		metrics.GetOrRegisterGauge("configuration_version", l.registry).Update(s.Version())
+	})
+}
+
+// listenWhenInformed opens the callers' address once requests can be served:
+// until then a caller's connection is refused, so that it goes elsewhere.
+func (l *Launcher) listenWhenInformed(ctx context.Context, failed chan error) (*http.Server, error) {
+	ticker := time.NewTicker(tickInterval / 5)
+	defer ticker.Stop()
+	for {
+		var limits traffic.Limits
+		informed := false
+		l.carrier.View(func(s *steerer.Steerer) { informed, limits = s.Informed(), s.Limits() })
+		if informed {
+			front := l.front(limits)
+			return front, l.serve(l.Settings.CallerAddress, front, failed)
+		}
+		select {
+		case <-ticker.C:
+		case err := <-failed:
+			return nil, err
+		case <-ctx.Done():
+			l.Logger.Info("stopped before serving")
+			return nil, nil
+		}
+	}
+}
+
+func (l *Launcher) front(limits traffic.Limits) *http.Server {
+	return &http.Server{
+		Handler:           http.HandlerFunc(l.receiver.Serve),
+		ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
+		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdleTimeout),
+		MaxHeaderBytes:    orDefault(limits.HeaderBytes, defaultHeaderBytes),
+		ErrorLog:          slog.NewLogLogger(l.Logger.Handler(), slog.LevelDebug),
+	}
+}
+
+func orDefault[T int | time.Duration](value, fallback T) T {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
+
+func (l *Launcher) serve(address string, server *http.Server, failed chan<- error) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("launcher: %w", err)
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- fmt.Errorf("launcher: %w", err)
+		}
+	}()
+	return nil
+}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -11,9 +11,9 @@
 //	s := &steerer.Steerer{Self: self, Settings: settings}
 //	effects := s.Reduce(now, traffic.Arrived{Call: 1, Request: request, Read: now})
 //
-// Files follow the topics: admission, placement, outcome, retries, upstreams,
-// evacuations, instances, look-ups and logs. A Steerer is not safe for
-// concurrent use; the returned slice is valid until the next call.
+// Files follow the topics: admission, eligibility, placement, outcome, retries,
+// upstreams, evacuations, instances, look-ups and logs. A Steerer is not safe
+// for concurrent use; the returned slice is valid until the next call.
 package steerer
 
 import (
