Take bodies as large as the configuration in force allows

Change: the receiver asks for the bound of the policy in force; 8 MB holds without one. All bodies together stay within a quarter of the memory, as before: what does not fit is refused as not run.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -37,7 +37,8 @@
 	Codec    traffic.Codec
 	Clock    clock.Clock
 	Registry metrics.Registry
-	// MaxBodyBytes bounds one request's body, Bodies those of all together.
+	// MaxBodyBytes bounds one request's body where the policy in force does not;
+	// Bodies those of all together.
 	MaxBodyBytes int64
 	Bodies       *semaphore.Weighted
 	// Stopping makes every answer the last on its connection.
@@ -51,7 +52,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	request := r.Codec.Request(q)
-	body, err := r.readBody(w, q)
+	body, err := r.readBody(w, q, r.bodyLimit())
 	defer r.Bodies.Release(int64(cap(body)))
 	if err != nil {
 		r.refuseBody(w, err)
@@ -75,13 +76,23 @@
 	metrics.GetOrRegisterCounter(name, r.Registry).Inc(1)
 }
 
-// readBody reads a whole body. What it returns is taken from the bytes that all
+// bodyLimit returns the bound on one body.
+func (r *Receiver) bodyLimit() int64 {
+	limit := int64(0)
+	r.Carrier.View(func(s *steerer.Steerer) { limit = s.Limits().BodyBytes })
+	if limit > 0 {
+		return limit
+	}
+	return r.MaxBodyBytes
+}
+
+// readBody reads a whole body of up to limit bytes. What it returns is taken from the bytes that all
 // bodies together may hold, in steps as a body without a length grows.
-func (r *Receiver) readBody(w http.ResponseWriter, q *http.Request) ([]byte, error) {
-	if q.ContentLength > r.MaxBodyBytes {
-		return nil, &http.MaxBytesError{Limit: r.MaxBodyBytes}
+func (r *Receiver) readBody(w http.ResponseWriter, q *http.Request, limit int64) ([]byte, error) {
+	if q.ContentLength > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
 	}
-	reader := http.MaxBytesReader(w, q.Body, r.MaxBodyBytes)
+	reader := http.MaxBytesReader(w, q.Body, limit)
 	size := q.ContentLength
 	if size < 0 {
 		size = firstBodyBytes
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -25,8 +25,8 @@
 func TestBodies(t *testing.T) {
 	for _, length := range []bool{true, false} {
 		for _, size := range []int{0, 1, firstBodyBytes - 1, firstBodyBytes, firstBodyBytes + 1, 100_000} {
-			r := &Receiver{MaxBodyBytes: 1 << 20, Bodies: semaphore.NewWeighted(1 << 20)}
-			body, err := r.readBody(httptest.NewRecorder(), request(size, length))
+			r := &Receiver{Bodies: semaphore.NewWeighted(1 << 20)}
+			body, err := r.readBody(httptest.NewRecorder(), request(size, length), 1<<20)
 			assert.NilError(t, err)
 			assert.Equal(t, len(body), size)
 			r.Bodies.Release(int64(cap(body)))
@@ -37,8 +37,8 @@
 
 func TestLargeBodies(t *testing.T) {
 	for _, length := range []bool{true, false} {
-		r := &Receiver{MaxBodyBytes: 50_000, Bodies: semaphore.NewWeighted(1 << 20)}
-		body, err := r.readBody(httptest.NewRecorder(), request(50_001, length))
+		r := &Receiver{Bodies: semaphore.NewWeighted(1 << 20)}
+		body, err := r.readBody(httptest.NewRecorder(), request(50_001, length), 50_000)
 		var large *http.MaxBytesError
 		assert.Assert(t, errors.As(err, &large))
 		r.Bodies.Release(int64(cap(body)))
@@ -49,14 +49,14 @@
 // Many small bodies without a length arrive at once: each takes what it needs,
 // not what it might need.
 func TestManyBodiesWithoutALength(t *testing.T) {
-	r := &Receiver{MaxBodyBytes: 8 << 20, Bodies: semaphore.NewWeighted(70 << 20)}
+	r := &Receiver{Bodies: semaphore.NewWeighted(70 << 20)}
 	var wait sync.WaitGroup
 	var mutex sync.Mutex
 	refused := 0
 	held := make(chan struct{})
 	for range 500 {
 		wait.Go(func() {
-			body, err := r.readBody(httptest.NewRecorder(), request(4000, false))
+			body, err := r.readBody(httptest.NewRecorder(), request(4000, false), 8<<20)
 			if err != nil {
 				mutex.Lock()
 				refused++
