Log each ejection, pause after a dropped history, reload regions

- A server ejected by a refused connection right after another failure got no line: `failed` looked at the state after the first of its two counts.
- A store that drops its history again and again was read in full without a pause (the test did not end), and by all instances at the same moment.
The pause is the one after a failed call, 0.25 s on the mean.
- Settings read again were written into the reducer past its events, and the regions worked out from the old ones stayed.
They come as an event.

Tests: TestEachEjectionIsLogged, TestForgetfulStoreIsNotReadWithoutEnd, TestReloadedSettingsAddARegion, each failing first.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -24,7 +24,8 @@
 	// the same for changes, beyond the time that the store may wait.
 	callTimeout   = 1500 * time.Millisecond
 	followTimeout = 900 * time.Millisecond
-	// retryDelay is the mean pause after a failed call.
+	// retryDelay is the mean pause after a call that failed or found its history
+	// dropped.
 	retryDelay = 250 * time.Millisecond
 	// probeTimeout holds for calls while the store is away: one that hangs must
 	// not hide its return.
@@ -61,9 +62,11 @@
 		case errors.Is(err, traffic.ErrHistoryLost):
 			f.Logger.Info("store history dropped", "revision", f.revision)
 			f.known = false
+			// All instances find it at the same moment.
+			sleep(ctx, spread(retryDelay))
 		case err != nil:
 			f.fail(err)
-			sleep(ctx, retryDelay/2+rand.N(retryDelay))
+			sleep(ctx, spread(retryDelay))
 		default:
 			f.take(news)
 			if f.known && !news.More {
@@ -119,6 +122,11 @@
 	f.Do(traffic.StoreLost{Err: err})
 }
 
+// spread returns a random time with a mean.
+func spread(mean time.Duration) time.Duration {
+	return mean/2 + rand.N(mean)
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -240,3 +240,23 @@
 		assert.Assert(t, last <= f.Pause, "the last change was taken in after %v", last)
 	})
 }
+
+// forgetfulStore drops its history again and again.
+type forgetfulStore struct{ fakeStore }
+
+func (s *forgetfulStore) Follow(context.Context, int64, time.Duration, time.Duration) (traffic.News, error) {
+	return traffic.News{}, traffic.ErrHistoryLost
+}
+
+// A store that drops its history is not read in full without a pause, and not
+// by all instances at the same moment.
+func TestForgetfulStoreIsNotReadWithoutEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &forgetfulStore{}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		f := Follower{Store: store, Logger: slog.New(slog.DiscardHandler), Wait: 3 * time.Second, Do: func(traffic.Event) {}}
+		f.Run(ctx)
+		assert.Assert(t, store.reads.Load() <= 60, "%d reads in 10 s", store.reads.Load())
+	})
+}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -168,7 +168,7 @@
 				l.forwarder.Sweep()
 			}
 		case s := <-l.Reload:
-			l.carrier.View(func(r *steerer.Steerer) { r.Settings = s })
+			l.carrier.Do(traffic.SettingsReloaded{Settings: s})
 			l.Logger.Info("settings reloaded")
 		case err := <-failed:
 			return err
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -61,7 +61,7 @@
 	s.observeLoad(u, o.Reply.Load)
 	if c.answered && o.Fate != traffic.Ran {
 		if u.ejector.OnTrial(s.now) && s.now.Sub(a.sentAt) >= patience(a.expected) {
-			s.failed(u, "no answer before that of another server")
+			s.failed(u, 1, "no answer before that of another server")
 		}
 		return
 	}
@@ -76,10 +76,9 @@
 	case errors.Is(o.Err, context.DeadlineExceeded) && s.now.Sub(a.sentAt) < a.expected:
 		// The time was too short for any server.
 	case o.Unreachable:
-		u.ejector.Fail(s.now)
-		s.failed(u, errorText(o.Err))
+		s.failed(u, ejectFailures, errorText(o.Err))
 	case o.Fate == traffic.Unknown:
-		s.failed(u, errorText(o.Err))
+		s.failed(u, 1, errorText(o.Err))
 	case o.Fate == traffic.NotRun && !o.Reply.NotRun:
 		// Nothing was sent for a reason of this side.
 	default:
@@ -87,14 +86,15 @@
 	}
 }
 
-// failed counts a failure of a server.
-func (s *Steerer) failed(u *upstream, reason string) {
-	out := u.ejector.Ejected(s.now)
+// failed counts a failure of a server, a graver one several times.
+func (s *Steerer) failed(u *upstream, weight int, reason string) {
 	s.observeFault(u, true)
-	u.ejector.Fail(s.now)
-	if !out && u.ejector.Ejected(s.now) {
-		s.recordBelief("server ejected", attr("server", u.ID), attr("error", reason),
-			attr("for", u.ejector.Returned().Sub(s.now)))
+	for range weight {
+		if u.ejector.Fail(s.now) {
+			s.recordBelief("server ejected", attr("server", u.ID), attr("error", reason),
+				attr("for", u.ejector.Returned().Sub(s.now)))
+			return
+		}
 	}
 }
 
@@ -172,7 +172,7 @@
 	}
 	for _, a := range c.open {
 		if s.now.Sub(a.sentAt) >= a.expected {
-			s.failed(a.server, "no answer within the request's time")
+			s.failed(a.server, 1, "no answer within the request's time")
 		}
 	}
 	s.abandon(c)
--- a/internal/steerer/region_test.go
+++ b/internal/steerer/region_test.go
@@ -78,3 +78,14 @@
 	}
 	assert.Assert(t, moved > 60, "only %d moved in all", moved)
 }
+
+// Settings that are read again hold for all that was worked out from them.
+func TestReloadedSettingsAddARegion(t *testing.T) {
+	b := sixDomains(t)
+	b.places()
+	before := len(b.regions())
+	changed := settings()
+	changed.Domains["d1"] = "d"
+	b.do(traffic.SettingsReloaded{Settings: changed})
+	assert.Equal(t, len(b.regions()), before+1)
+}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -101,6 +101,9 @@
 		s.lookedUp(e.Query)
 	case traffic.Ticked:
 		s.tick()
+	case traffic.SettingsReloaded:
+		s.Settings = e.Settings
+		s.regionNames = nil
 	case traffic.ServingStarted:
 		s.serving = true
 	case traffic.StopRequested:
--- a/internal/steerer/trial_test.go
+++ b/internal/steerer/trial_test.go
@@ -85,3 +85,29 @@
 	b.end(trial, traffic.Outcome{Fate: traffic.Unknown, Err: context.Canceled})
 	assert.Assert(t, b.upstreams["s1"].ejector.Ejected(b.now))
 }
+
+// However a server comes to be out of use, one line says so.
+func TestEachEjectionIsLogged(t *testing.T) {
+	refused := traffic.Outcome{Fate: traffic.NotRun, Unreachable: true, Err: errReset}
+	lost := traffic.Outcome{Fate: traffic.Unknown, Err: errReset}
+	for name, outcomes := range map[string][]traffic.Outcome{
+		"refused":                {refused},
+		"refused after one lost": {lost, refused},
+		"lost twice":             {lost, lost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := informed(t, server("s1", "a1"))
+			lines := 0
+			for _, o := range outcomes {
+				_, effects := b.ask("/order/1", "7")
+				for _, x := range b.end(b.mustSend(effects), o) {
+					if r, ok := x.(traffic.Record); ok && r.Message == "server ejected" {
+						lines++
+					}
+				}
+			}
+			assert.Assert(t, b.upstreams["s1"].ejector.Ejected(b.now))
+			assert.Equal(t, lines, 1)
+		})
+	}
+}
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -77,6 +77,9 @@
 // StoreRegained says that the store answers again.
 type StoreRegained struct{}
 
+// SettingsReloaded says that the settings were read again.
+type SettingsReloaded struct{ Settings Settings }
+
 // ServingStarted says that the callers' address is open.
 type ServingStarted struct{}
 
@@ -104,6 +107,7 @@
 func (InstancesListed) event()   {}
 func (StoreLost) event()         {}
 func (StoreRegained) event()     {}
+func (SettingsReloaded) event()  {}
 func (ServingStarted) event()    {}
 func (StopRequested) event()     {}
 func (LookedUp) event()          {}
