Report a request whose connection ended before its first byte as not run

Cause: the reader of an idle connection closes it for unasked bytes or a close by the server. A request could take the connection from the pool between the two: setting the write deadline then failed, nothing was sent, and the outcome was unknown. An order was so given up that could have gone to another connection.

Ruled out: a longer wait before reuse (the server chooses when to send); checking the closed flag once more before the write (the same race, shorter).

Change: the reader and the writer decide under the connection's mutex which of them is first. A connection without a waiting exchange is ended for good before it is closed; an exchange that has not started is not sent, and goes to another connection if this one had been idle.

--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -25,8 +24,7 @@
 
 var (
 	errConnectionClosed = errors.New("forwarder: the connection ended before the answer was whole")
-	errTooLarge         = errors.New("forwarder: the response exceeds the size limit")
-	errNoRequestID      = errors.New("forwarder: the response carries no request ID")
+	errNotSent          = errors.New("forwarder: the connection ended before the request was sent")
 )
 
 // connection is one persistent connection. A goroutine reads from it at all
@@ -46,6 +44,8 @@
 
 	mutex   sync.Mutex
 	current *exchange
+	// ended is set once no request may be written any more.
+	ended bool
 	// outOfSync is set once the connection has carried bytes that do not belong to the current
 	// response, or a request that was not fully written; it is then not reused.
 	outOfSync bool
@@ -56,6 +56,9 @@
 	id     string
 	method string
 	done   chan result
+	// started is set before the first byte of the request is written. The
+	// connection's mutex guards it.
+	started bool
 	// written is closed once the whole request has been written.
 	written chan struct{}
 }
@@ -99,7 +102,8 @@
 	})
 }
 
-// exchange writes a request and waits for its response.
+// exchange writes a request and waits for its response. The error wraps errNotSent
+// if no byte of the request was written.
 func (c *connection) exchange(ctx context.Context, request traffic.Request, header http.Header, timeout time.Duration) (traffic.Reply, error) {
 	x := &exchange{id: request.ID, method: request.Method, done: make(chan result, 1), written: make(chan struct{})}
 	c.mutex.Lock()
@@ -114,12 +118,44 @@
 		c.awaitWritten(x)
 		return r.reply, r.err
 	case <-timer.C:
-		return traffic.Reply{}, context.DeadlineExceeded
+		return traffic.Reply{}, c.abandon(x, context.DeadlineExceeded)
 	case <-ctx.Done():
-		return traffic.Reply{}, ctx.Err()
+		return traffic.Reply{}, c.abandon(x, ctx.Err())
 	}
 }
 
+// start marks an exchange as started, before its first byte is written. It returns
+// false if the connection has ended.
+func (c *connection) start(x *exchange) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	x.started = !c.ended
+	return x.started
+}
+
+// abandon ends the connection for a reason and returns that reason, wrapped with
+// errNotSent if the exchange had not started.
+func (c *connection) abandon(x *exchange, reason error) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.ended = true
+	if x.started {
+		return reason
+	}
+	return fmt.Errorf("%w: %w", errNotSent, reason)
+}
+
+// takeCurrent returns the exchange that waits for a response. If there is none, it
+// ends the connection, so that none can start any more.
+func (c *connection) takeCurrent() *exchange {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.current == nil {
+		c.ended = true
+	}
+	return c.current
+}
+
 func (c *connection) finish() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -127,15 +163,23 @@
 }
 
 func (c *connection) write(x *exchange, data []byte, timeout time.Duration) {
-	err := c.conn.SetWriteDeadline(time.Now().Add(timeout))
-	if err == nil {
-		_, err = c.conn.Write(data)
+	if !c.start(x) {
+		x.complete(result{err: errNotSent})
+		return
 	}
-	if err != nil {
-		x.complete(result{err: fmt.Errorf("forwarder: %w", err)})
+	if err := c.conn.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
+		x.complete(result{err: fmt.Errorf("%w: %w", errNotSent, err)})
 		return
 	}
-	close(x.written)
+	n, err := c.conn.Write(data)
+	switch {
+	case err == nil:
+		close(x.written)
+	case n == 0:
+		x.complete(result{err: fmt.Errorf("%w: %w", errNotSent, err)})
+	default:
+		x.complete(result{err: fmt.Errorf("forwarder: %w", err)})
+	}
 }
 
 // awaitWritten waits up to writeGrace for the write of the request to return. A
@@ -175,69 +219,3 @@
 	b.Write(request.Body)
 	return b.Bytes()
 }
-
-// read reads responses until the connection ends.
-func (c *connection) read() {
-	defer c.close()
-	for c.readOne() {
-	}
-}
-
-// readOne reads one response and reports whether the connection can be used further.
-func (c *connection) readOne() bool {
-	_, err := c.reader.Peek(1)
-	c.mutex.Lock()
-	x := c.current
-	c.mutex.Unlock()
-	if x == nil {
-		return false
-	}
-	if err != nil {
-		x.complete(result{err: errConnectionClosed})
-		return false
-	}
-	reply, err := c.readReply(x)
-	if err != nil {
-		x.complete(result{err: err})
-		return false
-	}
-	if reply == nil {
-		return true
-	}
-	c.mutex.Lock()
-	c.outOfSync = c.outOfSync || c.reader.Buffered() > 0
-	c.mutex.Unlock()
-	x.complete(result{reply: *reply})
-	return !reply.CloseConnection
-}
-
-// readReply reads one complete response. It returns nil for an interim response and
-// for the response to another request.
-func (c *connection) readReply(x *exchange) (*traffic.Reply, error) {
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: x.method})
-	if err != nil {
-		return nil, fmt.Errorf("forwarder: %w", err)
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, c.forwarder.MaxBodyBytes+1))
-	if err != nil {
-		return nil, fmt.Errorf("forwarder: %w", err)
-	}
-	if int64(len(body)) > c.forwarder.MaxBodyBytes {
-		return nil, errTooLarge
-	}
-	if response.StatusCode < http.StatusOK {
-		return nil, nil
-	}
-	reply := c.forwarder.Codec.DecodeReply(response)
-	reply.Body = body
-	if reply.RequestID == x.id {
-		return &reply, nil
-	}
-	if reply.RequestID == "" {
-		return nil, errNoRequestID
-	}
-	c.mutex.Lock()
-	c.outOfSync = true
-	c.mutex.Unlock()
-	return nil, nil
-}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -72,12 +72,26 @@
 	return outcome
 }
 
+// exchange repeats an exchange on another connection if an idle one has ended
+// before the request was sent.
 func (f *Forwarder) exchange(ctx context.Context, request traffic.Request, send traffic.Send) traffic.Outcome {
-	c, err := f.connect(ctx, send)
-	if err != nil {
-		busy := errors.Is(err, errTooMany) || ctx.Err() != nil
-		return traffic.Outcome{Fate: traffic.NotRun, Unreachable: !busy, Err: err}
+	for {
+		c, err := f.connect(ctx, send)
+		if err != nil {
+			busy := errors.Is(err, errTooMany) || ctx.Err() != nil
+			return traffic.Outcome{Fate: traffic.NotRun, Unreachable: !busy, Err: err}
+		}
+		reused := !c.idleSince.IsZero()
+		outcome := f.exchangeOn(ctx, c, request, send)
+		if !reused || !errors.Is(outcome.Err, errNotSent) || ctx.Err() != nil {
+			return outcome
+		}
 	}
+}
+
+// exchangeOn exchanges a request and its response on a connection, and then returns
+// the connection to its pool or closes it.
+func (f *Forwarder) exchangeOn(ctx context.Context, c *connection, request traffic.Request, send traffic.Send) traffic.Outcome {
 	remaining := send.Deadline.Sub(f.Clock.Now())
 	if remaining <= 0 || ctx.Err() != nil {
 		f.put(c)
@@ -87,10 +101,7 @@
 	reply, err := c.exchange(ctx, request, f.Codec.RequestHeader(request, send.Upstream, remaining), remaining)
 	if err != nil {
 		c.close()
-		if errors.Is(err, errConnectionClosed) && idle > 0 {
-			f.learnIdle(idle)
-		}
-		return traffic.Outcome{Fate: traffic.Unknown, Err: err}
+		return f.failedOutcome(err, idle)
 	}
 	if c.reusable(reply) {
 		f.put(c)
@@ -104,6 +115,18 @@
 	return traffic.Outcome{Fate: fate, Reply: reply}
 }
 
+// failedOutcome returns the outcome of an exchange without a complete response.
+// idle is how long the connection had been idle before.
+func (f *Forwarder) failedOutcome(err error, idle time.Duration) traffic.Outcome {
+	if errors.Is(err, errNotSent) {
+		return traffic.Outcome{Fate: traffic.NotRun, Err: err}
+	}
+	if errors.Is(err, errConnectionClosed) && idle > 0 {
+		f.learnIdle(idle)
+	}
+	return traffic.Outcome{Fate: traffic.Unknown, Err: err}
+}
+
 // connect returns an idle connection or opens a new one.
 func (f *Forwarder) connect(ctx context.Context, send traffic.Send) (*connection, error) {
 	key := send.Upstream.ID + " " + send.Upstream.Address
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -83,6 +83,12 @@
 	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
+// echo responds to each request and keeps the connection.
+func echo(conn net.Conn, r *http.Request, _ int) bool {
+	respond(conn, r.Header.Get("X-Id"), "")
+	return true
+}
+
 func newForwarder(t *testing.T) *Forwarder {
 	t.Helper()
 	f := &Forwarder{Codec: fakeCodec{}, Clock: clock.System(), MaxBodyBytes: 1 << 16}
@@ -192,7 +198,7 @@
 }
 
 func TestConnectionsAreKept(t *testing.T) {
-	s := startServer(t, func(conn net.Conn, r *http.Request, _ int) bool { respond(conn, r.Header.Get("X-Id"), ""); return true })
+	s := startServer(t, echo)
 	f := newForwarder(t)
 	for i := range 20 {
 		assert.Equal(t, send(f, s, fmt.Sprint(i), true).Fate, traffic.Ran)
