Read reports of load figure by figure

Cause: a report of load counted only with exactly three figures. Servers of some sites add a fourth, how long work takes at the moment, so every report of theirs was dropped without a line: servers were chosen blindly and turned work away.

Ruled out: dropping reports of another length with a log line only (the next figure would blind the site again).

Change: each figure is decoded for itself; what can't be read is left out, counted in responses_undecoded_HEADER and logged once for each header. The fourth figure is kept as the load's pace.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -46,6 +46,9 @@
 	MaxBodyBytes int64
 	// Opened is called for each new connection; it may be nil.
 	Opened func()
+	// Undecoded is called with each header of a response that could not be decoded in
+	// full; it may be nil.
+	Undecoded func(header string)
 
 	mutex sync.Mutex
 	pools map[string]*pool
@@ -103,6 +106,7 @@
 		c.close()
 		return f.failedOutcome(err, idle)
 	}
+	f.reportUndecoded(reply)
 	if c.reusable(reply) {
 		f.put(c)
 	} else {
@@ -115,6 +119,15 @@
 	return traffic.Outcome{Fate: fate, Reply: reply}
 }
 
+func (f *Forwarder) reportUndecoded(reply traffic.Reply) {
+	if f.Undecoded == nil {
+		return
+	}
+	for _, header := range reply.Undecoded {
+		f.Undecoded(header)
+	}
+}
+
 // failedOutcome returns the outcome of an exchange without a complete response.
 // idle is how long the connection had been idle before.
 func (f *Forwarder) failedOutcome(err error, idle time.Duration) traffic.Outcome {
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -12,6 +12,8 @@
 	"log/slog"
 	"math/rand/v2"
 	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -70,6 +72,8 @@
 	registrar       *registrar.Registrar
 	frequentLimiter *rate.Limiter
 	failureLimiter  *rate.Limiter
+	// undecoded holds the fields of messages that were already logged as undecoded.
+	undecoded sync.Map
 }
 
 // Run serves until ctx is cancelled and the graceful shutdown is complete.
@@ -114,6 +118,7 @@
 		Clock:        l.Clock,
 		MaxBodyBytes: maxBodyBytes,
 		Opened:       func() { metrics.GetOrRegisterCounter("connections.opened", l.registry).Inc(1) },
+		Undecoded:    l.countUndecoded,
 	}
 	l.registrar = &registrar.Registrar{Store: l.Store, Instance: self, Logger: l.Logger}
 	l.carrier = &carrier.Carrier{
@@ -147,6 +152,15 @@
 	l.Logger.LogAttrs(context.Background(), r.Level, r.Message, r.Attributes...)
 }
 
+// countUndecoded counts a header of a response that could not be decoded in full. It
+// logs the first occurrence of each header.
+func (l *Launcher) countUndecoded(header string) {
+	metrics.GetOrRegisterCounter("responses.undecoded."+strings.ToLower(header), l.registry).Inc(1)
+	if _, logged := l.undecoded.LoadOrStore(header, true); !logged {
+		l.Logger.Warn("response header not decoded", "header", header)
+	}
+}
+
 func (l *Launcher) startFollower(ctx context.Context) {
 	bounds := l.Settings.Bounds
 	f := &follower.Follower{
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -41,6 +41,8 @@
 	CloseConnection bool
 	// IdleTimeout is how long the server keeps the idle connection, or zero if unknown.
 	IdleTimeout time.Duration
+	// Undecoded lists the headers of which a part could not be decoded.
+	Undecoded []string
 }
 
 // Fate tells whether a request that was sent to a server has run.
--- a/internal/traffic/upstream.go
+++ b/internal/traffic/upstream.go
@@ -23,10 +23,15 @@
 
 // Load is the load that a server reports in a response.
 type Load struct {
+	// Known is set if the report states the number of running requests. A number that
+	// it does not state is zero.
 	Known   bool
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how many times longer than usual work takes at the server at this
+	// moment, or zero if it was not reported.
+	Pace float64
 }
 
 // Instance is one running entry instance.
