Bound what a response without end can hold

Cause: the head of a response was read without a limit, and a body up to 8 MB for each exchange. A server that sends bytes without end, in a head or a body, filled the memory until the request's deadline; a few of them at once end the process.

Ruled out: a shorter deadline (servers at work are slow too); a smaller limit on bodies (whole answers would be cut).

Change: the connection's reader fails after 64 KB of head, 16 responses that belong to no waiting request, or twice the largest body in chunks; a length above the limit is refused at once. Bodies of requests and responses are read by one collector, which bounds the memory of all bodies together; the first 64 KB of a response do not count, so that small responses of sound servers are read beside large ones. The outcome stays unknown, which ejects the server after two in a row, and the connection is closed.

--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -34,6 +34,8 @@
 	forwarder *Forwarder
 	key       string
 	conn      net.Conn
+	// limiter bounds what reader may read from conn.
+	limiter   *limiter
 	reader    *bufio.Reader
 	idleSince time.Time
 	// keepIdle is how long the server keeps an idle connection; zero if it did not say.
@@ -55,7 +57,10 @@
 type exchange struct {
 	id     string
 	method string
-	done   chan result
+	// skipped counts the responses on the connection that were not the one to this
+	// request.
+	skipped int
+	done    chan result
 	// started is set before the first byte of the request is written. The
 	// connection's mutex guards it.
 	started bool
@@ -69,7 +74,8 @@
 }
 
 func newConnection(f *Forwarder, key string, conn net.Conn) *connection {
-	return &connection{forwarder: f, key: key, conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+	l := &limiter{reader: conn}
+	return &connection{forwarder: f, key: key, conn: conn, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
 }
 
 func (c *connection) usable(now time.Time, limit time.Duration) bool {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/clock"
+	"github.com/yuccathread/yuccathread/internal/collector"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -44,6 +45,8 @@
 	Clock clock.Clock
 	// MaxBodyBytes limits the body of a response; an exchange with a larger one fails.
 	MaxBodyBytes int64
+	// Bodies reads the bodies of responses.
+	Bodies *collector.Collector
 	// Opened is called for each new connection; it may be nil.
 	Opened func()
 	// Undecoded is called with each header of a response that could not be decoded in
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -11,9 +11,11 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/semaphore"
 	"gotest.tools/v3/assert"
 
 	"github.com/yuccathread/yuccathread/internal/clock"
+	"github.com/yuccathread/yuccathread/internal/collector"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -89,9 +91,13 @@
 	return true
 }
 
+func bodies() *collector.Collector {
+	return &collector.Collector{Memory: semaphore.NewWeighted(1 << 18)}
+}
+
 func newForwarder(t *testing.T) *Forwarder {
 	t.Helper()
-	f := &Forwarder{Codec: fakeCodec{}, Clock: clock.System(), MaxBodyBytes: 1 << 16}
+	f := &Forwarder{Codec: fakeCodec{}, Clock: clock.System(), MaxBodyBytes: 1 << 16, Bodies: bodies()}
 	t.Cleanup(f.Close)
 	return f
 }
@@ -308,7 +314,7 @@
 		return true
 	})
 	c := &fakeClock{}
-	f := &Forwarder{Codec: fakeCodec{}, Clock: c, MaxBodyBytes: 1 << 16}
+	f := &Forwarder{Codec: fakeCodec{}, Clock: c, MaxBodyBytes: 1 << 16, Bodies: bodies()}
 	t.Cleanup(f.Close)
 	use := func(id string) traffic.Fate {
 		return f.Exchange(t.Context(), traffic.Request{ID: id, Method: "GET", Target: "/"}, traffic.Send{
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -22,6 +22,7 @@
 
 	"github.com/yuccathread/yuccathread/internal/carrier"
 	"github.com/yuccathread/yuccathread/internal/clock"
+	"github.com/yuccathread/yuccathread/internal/collector"
 	"github.com/yuccathread/yuccathread/internal/follower"
 	"github.com/yuccathread/yuccathread/internal/forwarder"
 	"github.com/yuccathread/yuccathread/internal/receiver"
@@ -36,9 +37,13 @@
 	// sweepTicks is the number of ticks between two sweeps of idle connections.
 	sweepTicks = 10
 	// maxBodyBytes limits the body of one request or response. All request bodies
-	// together may hold the process's memory limit divided by bodyMemoryDivisor.
-	maxBodyBytes      = 8 << 20
-	bodyMemoryDivisor = 4
+	// together may hold the process's memory limit divided by requestMemoryDivisor, and
+	// all responses that are being read the limit divided by responseMemoryDivisor. The
+	// first uncountedBytes of a response do not count.
+	maxBodyBytes          = 8 << 20
+	requestMemoryDivisor  = 4
+	responseMemoryDivisor = 8
+	uncountedBytes        = 64 << 10
 	// followWait is how long one call to the store waits for changes. It is short
 	// enough to notice a silent connection within the operators' limits.
 	followWait = 3 * time.Second
@@ -117,8 +122,12 @@
 		Codec:        l.Codec,
 		Clock:        l.Clock,
 		MaxBodyBytes: maxBodyBytes,
-		Opened:       func() { metrics.GetOrRegisterCounter("connections.opened", l.registry).Inc(1) },
-		Undecoded:    l.countUndecoded,
+		Bodies: &collector.Collector{
+			Memory: semaphore.NewWeighted(max(s.MemoryMB<<20/responseMemoryDivisor, 2*maxBodyBytes)),
+			Free:   uncountedBytes,
+		},
+		Opened:    func() { metrics.GetOrRegisterCounter("connections.opened", l.registry).Inc(1) },
+		Undecoded: l.countUndecoded,
 	}
 	l.registrar = &registrar.Registrar{Store: l.Store, Instance: self, Logger: l.Logger}
 	l.carrier = &carrier.Carrier{
@@ -134,7 +143,9 @@
 		Clock:        l.Clock,
 		Registry:     l.registry,
 		MaxBodyBytes: maxBodyBytes,
-		BodyMemory:   semaphore.NewWeighted(max(s.MemoryMB<<20/bodyMemoryDivisor, maxBodyBytes)),
+		Bodies: &collector.Collector{
+			Memory: semaphore.NewWeighted(max(s.MemoryMB<<20/requestMemoryDivisor, maxBodyBytes)),
+		},
 	}
 }
 
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -11,26 +11,20 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/yuccathread/yuccathread/internal/carrier"
 	"github.com/yuccathread/yuccathread/internal/clock"
+	"github.com/yuccathread/yuccathread/internal/collector"
 	"github.com/yuccathread/yuccathread/internal/steerer"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
-// initialBodyBytes is the initial buffer size for a body without a Content-Length.
-const initialBodyBytes = 16 << 10
-
-var errBodyMemory = errors.New("receiver: the request bodies in progress exceed their memory limit")
-
 // Receiver answers HTTP requests. Set the fields before the first request.
 type Receiver struct {
 	Carrier  *carrier.Carrier
@@ -38,9 +32,10 @@
 	Clock    clock.Clock
 	Registry metrics.Registry
 	// MaxBodyBytes limits the body of one request where the current policy sets no
-	// limit; BodyMemory limits the bytes held by all request bodies together.
+	// limit.
 	MaxBodyBytes int64
-	BodyMemory   *semaphore.Weighted
+	// Bodies reads the bodies of requests.
+	Bodies *collector.Collector
 	// Stopping makes every response close its connection.
 	Stopping atomic.Bool
 }
@@ -53,7 +48,7 @@
 	}
 	request := r.Codec.DecodeRequest(req)
 	body, err := r.readBody(w, req, r.bodyLimit())
-	defer r.BodyMemory.Release(int64(cap(body)))
+	defer r.Bodies.Release(body)
 	if err != nil {
 		r.refuseBody(w, err)
 		return
@@ -86,48 +81,20 @@
 	return r.MaxBodyBytes
 }
 
-// readBody reads a complete body of at most limit bytes. It acquires the capacity of the returned
-// slice from BodyMemory, in steps if the body has no Content-Length; the caller must release it,
+// readBody reads a complete body of at most limit bytes. The caller must release it,
 // also after an error.
 func (r *Receiver) readBody(w http.ResponseWriter, req *http.Request, limit int64) ([]byte, error) {
 	if req.ContentLength > limit {
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
-	reader := http.MaxBytesReader(w, req.Body, limit)
-	size := req.ContentLength
-	if size < 0 {
-		size = initialBodyBytes
-	}
-	if !r.BodyMemory.TryAcquire(size) {
-		return nil, errBodyMemory
-	}
-	body := make([]byte, 0, size)
-	for {
-		if len(body) == cap(body) && req.ContentLength >= 0 {
-			return body, nil
-		}
-		if len(body) == cap(body) {
-			if !r.BodyMemory.TryAcquire(int64(cap(body))) {
-				return body, errBodyMemory
-			}
-			body = append(make([]byte, 0, 2*cap(body)), body...)
-		}
-		n, err := reader.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, nil
-		}
-		if err != nil {
-			return body, err
-		}
-	}
+	return r.Bodies.Read(http.MaxBytesReader(w, req.Body, limit), req.ContentLength)
 }
 
 // refuseBody answers a request whose body could not be read in full.
 func (r *Receiver) refuseBody(w http.ResponseWriter, err error) {
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, errBodyMemory):
+	case errors.Is(err, collector.ErrMemory):
 		r.refuse(w, traffic.Refuse{Reason: traffic.Overloaded, Fate: traffic.NotRun, RetryAfter: time.Second})
 	case errors.As(err, &tooLarge):
 		r.refuse(w, traffic.Refuse{Reason: traffic.TooLarge, Fate: traffic.NotRun})
--- a/internal/receiver/receiver_test.go
+++ b/internal/receiver/receiver_test.go
@@ -11,6 +11,8 @@
 
 	"golang.org/x/sync/semaphore"
 	"gotest.tools/v3/assert"
+
+	"github.com/yuccathread/yuccathread/internal/collector"
 )
 
 func newRequest(size int, withLength bool) *http.Request {
@@ -23,33 +25,34 @@
 }
 
 func TestBodies(t *testing.T) {
+	const initialBodyBytes = 16 << 10
 	for _, withLength := range []bool{true, false} {
 		for _, size := range []int{0, 1, initialBodyBytes - 1, initialBodyBytes, initialBodyBytes + 1, 100_000} {
-			r := &Receiver{BodyMemory: semaphore.NewWeighted(1 << 20)}
+			r := &Receiver{Bodies: &collector.Collector{Memory: semaphore.NewWeighted(1 << 20)}}
 			body, err := r.readBody(httptest.NewRecorder(), newRequest(size, withLength), 1<<20)
 			assert.NilError(t, err)
 			assert.Equal(t, len(body), size)
-			r.BodyMemory.Release(int64(cap(body)))
-			assert.Assert(t, r.BodyMemory.TryAcquire(1<<20), "the bytes were not released")
+			r.Bodies.Release(body)
+			assert.Assert(t, r.Bodies.Memory.TryAcquire(1<<20), "the bytes were not released")
 		}
 	}
 }
 
 func TestLargeBodies(t *testing.T) {
 	for _, withLength := range []bool{true, false} {
-		r := &Receiver{BodyMemory: semaphore.NewWeighted(1 << 20)}
+		r := &Receiver{Bodies: &collector.Collector{Memory: semaphore.NewWeighted(1 << 20)}}
 		body, err := r.readBody(httptest.NewRecorder(), newRequest(50_001, withLength), 50_000)
 		var tooLarge *http.MaxBytesError
 		assert.Assert(t, errors.As(err, &tooLarge))
-		r.BodyMemory.Release(int64(cap(body)))
-		assert.Assert(t, r.BodyMemory.TryAcquire(1<<20))
+		r.Bodies.Release(body)
+		assert.Assert(t, r.Bodies.Memory.TryAcquire(1<<20))
 	}
 }
 
 // Many small bodies without a Content-Length arrive at once: each must acquire
 // only the bytes that it uses, not the size limit of a body.
 func TestManyBodiesWithoutALength(t *testing.T) {
-	r := &Receiver{BodyMemory: semaphore.NewWeighted(70 << 20)}
+	r := &Receiver{Bodies: &collector.Collector{Memory: semaphore.NewWeighted(70 << 20)}}
 	var callers sync.WaitGroup
 	var mutex sync.Mutex
 	refused := 0
@@ -63,7 +66,7 @@
 				mutex.Unlock()
 			}
 			<-release
-			r.BodyMemory.Release(int64(cap(body)))
+			r.Bodies.Release(body)
 		})
 	}
 	close(release)
