Derive the times of the store's calls, leases and stops from the bounds

The store had dropped its history; the open watch heard nothing, the instance noticed after a wait of 3 s and a timeout of 0.9 s, and read again 0.1 s too late for a window of 3 s. All these times were constants that suited 4 s. The lease of 6 s plus the pause likewise outlived the time after which a dead instance must be gone from look-ups.

Ruled out: a shorter constant (the next deployment has other bounds); ending the watch on a TCP probe (the connection is alive, only the watch is deaf).

Change: package timekeeper derives each wait, timeout, pause, lease and stop time from the bounds that it serves; two bounds, reconnect and evacuation, are read in addition. Bounds that can't be kept are findings of the settings check. A wait without changes is no longer followed by a pause, which was part of the chain.

Tests: TestChainsEndWithinTheirBounds over half to four times today's bounds, TestDeafCallIsNoticedWithinItsBound (failed with the pause: 1.66 s of 1.5 s).

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -5,7 +5,7 @@
 //
 // Usage:
 //
-//	f := &follower.Follower{Store: store, Handle: carrier.Handle, Logger: logger, Wait: wait, Pause: pause}
+//	f := &follower.Follower{Store: store, Handle: carrier.Handle, Logger: logger, Times: times}
 //	f.Run(ctx)
 package follower
 
@@ -16,23 +16,12 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
-const (
-	// readTimeout is how long a full read may go without receiving data. A call that
-	// waits for changes may go without data for its wait plus followTimeout.
-	readTimeout   = 1500 * time.Millisecond
-	followTimeout = 900 * time.Millisecond
-	// retryDelay is the mean pause after a call that failed or found that the
-	// history was dropped.
-	retryDelay = 250 * time.Millisecond
-	// probeTimeout is the shorter timeout of calls while the store is unavailable:
-	// a call that hangs must not delay noticing that the store is back.
-	probeTimeout = 700 * time.Millisecond
-	// probeWait is the shortest wait for changes that a call may request.
-	probeWait = time.Millisecond
-)
+// probeWait is the shortest wait for changes that a call may request.
+const probeWait = time.Millisecond
 
 // Follower reads the store and its changes. Set the fields before Run.
 type Follower struct {
@@ -40,11 +29,9 @@
 	// Handle is called with each event.
 	Handle func(traffic.Event)
 	Logger *slog.Logger
-	// Wait is how long one call may wait for changes.
-	Wait time.Duration
-	// Pause is the time between two calls, so that one call returns several
-	// changes; a backlog is read without pauses.
-	Pause time.Duration
+	// Times gives the waits, pauses and timeouts. There is no pause in a backlog, nor
+	// after a wait without changes.
+	Times timekeeper.Timekeeper
 
 	revision int64
 	// synced is set while changes can be followed from revision.
@@ -64,14 +51,14 @@
 			f.Logger.Info("store history dropped", "revision", f.revision)
 			f.synced = false
 			// All instances notice this at the same time; the random delay spreads their reads.
-			sleep(ctx, jitter(retryDelay))
+			sleep(ctx, jitter(f.Times.RetryDelay()))
 		case err != nil:
 			f.storeFailed(err)
-			sleep(ctx, jitter(retryDelay))
+			sleep(ctx, jitter(f.Times.RetryDelay()))
 		default:
 			f.apply(changes)
-			if f.synced && !changes.More {
-				sleep(ctx, f.Pause)
+			if f.synced && !changes.More && len(changes.Events) > 0 {
+				sleep(ctx, f.Times.Pause())
 			}
 			f.synced = true
 		}
@@ -85,11 +72,11 @@
 	case !f.synced && f.unavailable:
 		return f.Store.Read(ctx, f.nextProbeTimeout())
 	case !f.synced:
-		return f.Store.Read(ctx, readTimeout)
+		return f.Store.Read(ctx, f.Times.ReadTimeout())
 	case f.unavailable:
 		return f.Store.Follow(ctx, f.revision, probeWait, probeWait+f.nextProbeTimeout())
 	}
-	return f.Store.Follow(ctx, f.revision, f.Wait, f.Wait+followTimeout)
+	return f.Store.Follow(ctx, f.revision, f.Times.FollowWait(), f.Times.FollowWait()+f.Times.FollowTimeout())
 }
 
 // nextProbeTimeout alternates between the short timeout and the full one, which a
@@ -97,9 +84,9 @@
 func (f *Follower) nextProbeTimeout() time.Duration {
 	f.probeCount++
 	if f.probeCount%2 == 1 {
-		return probeTimeout
+		return f.Times.ProbeTimeout()
 	}
-	return readTimeout
+	return f.Times.ReadTimeout()
 }
 
 func (f *Follower) apply(changes traffic.Changes) {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -11,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/yuccathread/yuccathread/internal/model"
+	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -61,28 +63,39 @@
 	}
 }
 
-func run(t *testing.T, store *fakeStore, duration time.Duration) (times map[string]time.Duration, events []traffic.Event) {
+// times returns the times that follow from the bounds of a small site, multiplied by
+// a factor.
+func times(factor float64) timekeeper.Timekeeper {
+	d := func(seconds float64) model.Duration {
+		return model.Duration{Duration: time.Duration(seconds * factor * float64(time.Second))}
+	}
+	return timekeeper.Timekeeper{Bounds: traffic.Bounds{
+		Drain: d(2.5), Apply: d(2.5), Evacuation: d(5), Reconnect: d(3), Grace: d(6),
+	}}
+}
+
+func run(t *testing.T, store *fakeStore, duration time.Duration) (moments map[string]time.Duration, events []traffic.Event) {
 	t.Helper()
-	times = make(map[string]time.Duration)
+	moments = make(map[string]time.Duration)
 	started := time.Now()
 	ctx, cancel := context.WithTimeout(t.Context(), duration)
 	defer cancel()
 	f := Follower{
 		Store:  store,
 		Logger: slog.New(slog.DiscardHandler),
-		Wait:   3 * time.Second,
+		Times:  times(1),
 		Handle: func(e traffic.Event) {
 			events = append(events, e)
 			switch e.(type) {
 			case traffic.StoreLost:
-				times["lost"] = time.Since(started)
+				moments["lost"] = time.Since(started)
 			case traffic.StoreRegained:
-				times["regained"] = time.Since(started)
+				moments["regained"] = time.Since(started)
 			}
 		},
 	}
 	f.Run(ctx)
-	return times, events
+	return moments, events
 }
 
 // A call that hangs must not delay noticing that the store is back: an
@@ -91,9 +104,9 @@
 	for _, silent := range []time.Duration{5 * time.Second, 7 * time.Second, 9500 * time.Millisecond, 8 * time.Second} {
 		synctest.Test(t, func(t *testing.T) {
 			from := time.Now().Add(time.Second)
-			times, _ := run(t, &fakeStore{silentFrom: from, silentUntil: from.Add(silent)}, 30*time.Second)
-			assert.Assert(t, times["lost"] > 0)
-			delay := times["regained"] - silent - time.Second
+			moments, _ := run(t, &fakeStore{silentFrom: from, silentUntil: from.Add(silent)}, 30*time.Second)
+			assert.Assert(t, moments["lost"] > 0)
+			delay := moments["regained"] - silent - time.Second
 			assert.Assert(t, delay < 2*time.Second, "noticed %v after its return", delay)
 		})
 	}
@@ -129,7 +142,7 @@
 		defer cancel()
 		f := Follower{
 			Store: store, Logger: slog.New(slog.DiscardHandler),
-			Wait: 3 * time.Second, Handle: func(traffic.Event) {},
+			Times: times(1), Handle: func(traffic.Event) {},
 		}
 		f.Run(ctx)
 		assert.Assert(t, store.reads.Load() <= 60, "%d reads in 10 s", store.reads.Load())
@@ -147,7 +160,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 		defer cancel()
 		f := &Follower{
-			Store: store, Logger: slog.New(slog.DiscardHandler), Wait: 3 * time.Second, Pause: 1400 * time.Millisecond,
+			Store: store, Logger: slog.New(slog.DiscardHandler), Times: times(1),
 			Handle: func(e traffic.Event) {
 				if _, ok := e.(traffic.UpstreamsListed); ok {
 					readAt = time.Now()
@@ -170,7 +183,7 @@
 		defer cancel()
 		worst := time.Duration(0)
 		f := &Follower{
-			Store: store, Logger: slog.New(slog.DiscardHandler), Wait: 3 * time.Second, Pause: 1400 * time.Millisecond,
+			Store: store, Logger: slog.New(slog.DiscardHandler), Times: times(1),
 			Handle: func(e traffic.Event) {
 				if seen, ok := e.(traffic.PolicySeen); ok {
 					worst = max(worst, time.Since(store.started.Add(time.Duration(seen.Policy.Version)*store.interval)))
@@ -179,7 +192,7 @@
 		}
 		f.Run(ctx)
 		assert.Assert(t, worst > 0)
-		assert.Assert(t, worst <= f.Pause, "%v", worst)
+		assert.Assert(t, worst <= f.Times.Pause(), "%v", worst)
 		assert.Assert(t, store.calls <= 46, "%d calls in 60 s", store.calls)
 	})
 }
@@ -231,7 +244,7 @@
 		gone, last := 0, time.Duration(0)
 		f := Follower{
 			Store: &backlogStore{answers: 4}, Logger: slog.New(slog.DiscardHandler),
-			Wait: 3 * time.Second, Pause: 2 * time.Second,
+			Times: times(1),
 			Handle: func(e traffic.Event) {
 				if _, ok := e.(traffic.UpstreamGone); ok {
 					gone++
@@ -241,7 +254,7 @@
 		}
 		f.Run(ctx)
 		assert.Equal(t, gone, 4)
-		assert.Assert(t, last <= f.Pause, "the last change was applied after %v", last)
+		assert.Assert(t, last <= f.Times.Pause(), "the last change was applied after %v", last)
 	})
 }
 
@@ -259,8 +272,50 @@
 		store := &droppingStore{}
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		f := Follower{Store: store, Logger: slog.New(slog.DiscardHandler), Wait: 3 * time.Second, Handle: func(traffic.Event) {}}
+		f := Follower{Store: store, Logger: slog.New(slog.DiscardHandler), Times: times(1), Handle: func(traffic.Event) {}}
 		f.Run(ctx)
 		assert.Assert(t, store.reads.Load() <= 60, "%d reads in 10 s", store.reads.Load())
 	})
 }
+
+// deafStore drops its history at droppedAt, with a change in it. A call that waits
+// then hears of nothing; its connection stays open and it ends after its wait plus
+// the time of a call, as if nothing had changed. Later calls learn of the drop.
+type deafStore struct {
+	fakeStore
+	droppedAt time.Time
+}
+
+func (s *deafStore) Follow(ctx context.Context, after int64, wait, stallTimeout time.Duration) (traffic.Changes, error) {
+	if !time.Now().Before(s.droppedAt) && s.reads.Load() == 1 {
+		return traffic.Changes{}, traffic.ErrHistoryDropped
+	}
+	return s.fakeStore.Follow(ctx, after, stallTimeout-time.Millisecond, stallTimeout)
+}
+
+// After a drop of the history that a waiting call does not hear of, all records must
+// be read again within the bound for a reconnect, whatever the bound and whenever in
+// a wait the history is dropped.
+func TestDeafCallIsNoticedWithinItsBound(t *testing.T) {
+	for _, factor := range []float64{0.5, 1, 4.0 / 3, 2, 4} {
+		for step := range 12 {
+			synctest.Test(t, func(t *testing.T) {
+				k := times(factor)
+				dropped := k.Bounds.Reconnect.Duration * time.Duration(step) / 10
+				store := &deafStore{droppedAt: time.Now().Add(dropped)}
+				readAt := time.Time{}
+				ctx, cancel := context.WithTimeout(t.Context(), 4*k.Bounds.Reconnect.Duration)
+				defer cancel()
+				f := &Follower{Store: store, Logger: slog.New(slog.DiscardHandler), Times: k, Handle: func(e traffic.Event) {
+					if _, ok := e.(traffic.UpstreamsListed); ok {
+						readAt = time.Now()
+					}
+				}}
+				f.Run(ctx)
+				assert.Equal(t, store.reads.Load(), int64(2))
+				delay := readAt.Sub(store.droppedAt)
+				assert.Assert(t, delay < k.Bounds.Reconnect.Duration, "factor %v: read again after %v", factor, delay)
+			})
+		}
+	}
+}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -28,6 +28,7 @@
 	"github.com/yuccathread/yuccathread/internal/receiver"
 	"github.com/yuccathread/yuccathread/internal/registrar"
 	"github.com/yuccathread/yuccathread/internal/steerer"
+	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -44,14 +45,6 @@
 	requestMemoryDivisor  = 4
 	responseMemoryDivisor = 8
 	uncountedBytes        = 64 << 10
-	// followWait is how long one call to the store waits for changes. It is short
-	// enough to notice a silent connection within the operators' limits.
-	followWait = 3 * time.Second
-	// pausePercent sets the pause between two calls to the store, as a percentage of
-	// the shortest time in which a change in the store must be in force. One call then
-	// returns several servers' reports, and the rest of the time allows for a failed
-	// call.
-	pausePercent = 55
 	// maxFailureLines limits the log lines per second about failed requests.
 	maxFailureLines = 200
 )
@@ -70,6 +63,7 @@
 	// Reload receives changed settings; it may be nil.
 	Reload <-chan traffic.Settings
 
+	times           timekeeper.Timekeeper
 	registry        metrics.Registry
 	forwarder       *forwarder.Forwarder
 	carrier         *carrier.Carrier
@@ -115,6 +109,7 @@
 		Address:     s.CallerAddress,
 		Incarnation: strconv.FormatUint(rand.Uint64(), 36),
 	}
+	l.times = timekeeper.Timekeeper{Bounds: s.Bounds}
 	l.registry = metrics.NewRegistry()
 	l.frequentLimiter = rate.NewLimiter(rate.Limit(s.LogLines), max(s.LogLines, 1))
 	l.failureLimiter = rate.NewLimiter(maxFailureLines, maxFailureLines)
@@ -129,7 +124,7 @@
 		Opened:    func() { metrics.GetOrRegisterCounter("connections.opened", l.registry).Inc(1) },
 		Undecoded: l.countUndecoded,
 	}
-	l.registrar = &registrar.Registrar{Store: l.Store, Instance: self, Logger: l.Logger}
+	l.registrar = &registrar.Registrar{Store: l.Store, Instance: self, Logger: l.Logger, Times: l.times}
 	l.carrier = &carrier.Carrier{
 		Steerer:    &steerer.Steerer{Self: self, Settings: s},
 		Forwarder:  l.forwarder,
@@ -173,13 +168,11 @@
 }
 
 func (l *Launcher) startFollower(ctx context.Context) {
-	bounds := l.Settings.Bounds
 	f := &follower.Follower{
 		Store:  l.Store,
 		Handle: l.carrier.Handle,
 		Logger: l.Logger,
-		Wait:   followWait,
-		Pause:  min(bounds.Drain.Duration, bounds.Apply.Duration) * pausePercent / 100,
+		Times:  l.times,
 	}
 	go f.Run(ctx)
 }
--- a/internal/preparer/preparer.go
+++ b/internal/preparer/preparer.go
@@ -16,6 +16,7 @@
 
 	"github.com/yuccathread/yuccathread/internal/decoder"
 	"github.com/yuccathread/yuccathread/internal/model"
+	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -33,6 +34,8 @@
 		Bounds: traffic.Bounds{
 			Drain:          seconds(2.5),
 			Apply:          seconds(2.5),
+			Evacuation:     seconds(5),
+			Reconnect:      seconds(4),
 			Grace:          seconds(6),
 			ReturnWait:     seconds(2),
 			RetryRatio:     0.2,
@@ -103,9 +106,6 @@
 		field string
 		value float64
 	}{
-		{"/bounds/drain", b.Drain.Seconds()},
-		{"/bounds/apply", b.Apply.Seconds()},
-		{"/bounds/grace", b.Grace.Seconds()},
 		{"/bounds/shift_window", b.ShiftWindow.Seconds()},
 		{"/bounds/look_up_lifetime", b.LookUpLifetime.Seconds()},
 		{"/bounds/cold_factor", b.ColdFactor},
@@ -128,5 +128,6 @@
 			findings = append(findings, model.Finding{Field: setting.field, Message: "must not be negative"})
 		}
 	}
-	return findings
+	k := timekeeper.Timekeeper{Bounds: b}
+	return append(findings, k.Check()...)
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -3,7 +3,7 @@
 //
 // Usage:
 //
-//	r := &registrar.Registrar{Store: store, Instance: self, Logger: logger}
+//	r := &registrar.Registrar{Store: store, Instance: self, Logger: logger, Times: times}
 //	go r.Run(ctx)
 //	r.Leave()           // marks the record as leaving
 //	r.Reannounce()      // writes the record again
@@ -16,24 +16,17 @@
 	"sync"
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
-const (
-	// leaseDuration outlasts two failed renewals and the restart of a process.
-	leaseDuration = 6 * time.Second
-	// renewInterval leaves time for two attempts within a lease.
-	renewInterval = 2 * time.Second
-	// retryInterval is the pause after a failed call.
-	retryInterval = 500 * time.Millisecond
-	callTimeout   = 1500 * time.Millisecond
-)
-
 // Registrar keeps one instance record in the store. Set the exported fields before Run.
 type Registrar struct {
 	Store    traffic.Store
 	Instance traffic.Instance
 	Logger   *slog.Logger
+	// Times gives the lease and the intervals and timeouts of the calls about it.
+	Times timekeeper.Timekeeper
 
 	once   sync.Once
 	wake   chan struct{}
@@ -55,9 +48,9 @@
 func (r *Registrar) Run(ctx context.Context) {
 	r.initWake()
 	for ctx.Err() == nil {
-		interval := renewInterval
+		interval := r.Times.RenewInterval()
 		if err := r.maintain(ctx); err != nil {
-			interval = retryInterval
+			interval = r.Times.LeaseRetryInterval()
 			r.callFailed(err)
 		} else {
 			r.callSucceeded()
@@ -101,7 +94,7 @@
 	if lease == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.Times.LeaseCallTimeout())
 	defer cancel()
 	if err := r.Store.Withdraw(ctx, lease); err != nil {
 		r.Logger.Warn("instance record not withdrawn", "error", err.Error())
@@ -111,7 +104,7 @@
 // maintain renews the lease; if the lease or the record is missing, it requests a
 // lease and writes the record.
 func (r *Registrar) maintain(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, r.Times.LeaseCallTimeout())
 	defer cancel()
 	r.mutex.Lock()
 	lease, written, instance, rewriteRequests := r.lease, r.written, r.Instance, r.rewriteRequests
@@ -119,7 +112,7 @@
 	var err error
 	switch {
 	case lease == 0:
-		lease, err = r.Store.Grant(ctx, leaseDuration)
+		lease, err = r.Store.Grant(ctx, r.Times.Lease())
 		written = false
 	case written:
 		err = r.Store.Renew(ctx, lease)
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -11,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/yuccathread/yuccathread/internal/model"
+	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -91,11 +93,17 @@
 	return s.record
 }
 
+// times are those of a site whose lease is 6 s.
+var times = timekeeper.Timekeeper{Bounds: traffic.Bounds{
+	Drain: model.Duration{Duration: 2 * time.Second}, Apply: model.Duration{Duration: 2 * time.Second},
+	Evacuation: model.Duration{Duration: 2 * time.Second}, Reconnect: model.Duration{Duration: 4500 * time.Millisecond},
+}}
+
 func TestRecordIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := &fakeStore{}
-		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler)}
+		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler), Times: times}
 		go r.Run(ctx)
 		synctest.Wait()
 		assert.Equal(t, store.storedRecord().Name, "front-1")
@@ -104,7 +112,7 @@
 		assert.Assert(t, store.renewed >= 9)
 
 		store.endLease()
-		time.Sleep(renewInterval + 2*retryInterval)
+		time.Sleep(times.RenewInterval() + 2*times.LeaseRetryInterval())
 		synctest.Wait()
 		assert.Assert(t, store.storedRecord() != nil, "the record was not written under a new lease")
 
@@ -129,13 +137,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := &fakeStore{unavailable: true}
-		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler)}
+		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler), Times: times}
 		go r.Run(ctx)
 		time.Sleep(5 * time.Second)
 		store.mutex.Lock()
 		store.unavailable = false
 		store.mutex.Unlock()
-		time.Sleep(2 * retryInterval)
+		time.Sleep(2 * times.LeaseRetryInterval())
 		synctest.Wait()
 		assert.Assert(t, store.storedRecord() != nil)
 		cancel()
@@ -149,7 +157,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := &fakeStore{}
-		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler)}
+		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler), Times: times}
 		go r.Run(ctx)
 		synctest.Wait()
 		store.mutex.Lock()
@@ -160,7 +168,7 @@
 			r.Reannounce()
 		}
 		store.mutex.Unlock()
-		time.Sleep(3 * renewInterval)
+		time.Sleep(3 * times.RenewInterval())
 		synctest.Wait()
 		assert.Assert(t, store.storedRecord() != nil, "the record was not written again")
 		cancel()
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -13,9 +14,6 @@
 	// instances seen. Otherwise the shares of all instances could add up to more than
 	// the bounds while records of running instances are missing.
 	sizeRetention = 30 * time.Second
-	// lookUpLifetime is how long a caller may cache the result of a look-up. It is
-	// short, so that callers soon stop using an instance that stops.
-	lookUpLifetime = time.Second
 	// maxAddresses is the largest number of addresses in a look-up's result.
 	maxAddresses = 64
 )
@@ -123,11 +121,8 @@
 	}
 	slices.SortFunc(selected, func(a, b traffic.Instance) int { return strings.Compare(a.Name, b.Name) })
 	selected = selected[:min(len(selected), maxAddresses)]
-	lifetime := lookUpLifetime
-	if limit := s.Settings.Bounds.LookUpLifetime.Duration; limit > 0 {
-		lifetime = min(lifetime, limit)
-	}
-	result := traffic.LookUpResult{Lifetime: lifetime}
+	times := timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
+	result := traffic.LookUpResult{Lifetime: times.LookUpLifetime()}
 	for _, i := range selected {
 		result.Addresses = append(result.Addresses, i.Address)
 	}
--- /dev/null
+++ b/internal/timekeeper/timekeeper.go
@@ -0,0 +1,183 @@
+// Package timekeeper derives the intervals and timeouts of an instance from the
+// bounds that the operators set, so that the worst case of each chain of steps ends
+// within its bound:
+//
+//	calm store:    pause, call                                        <= Drain, Apply, Evacuation
+//	deaf watch:    wait, timeout, retry delay, full read              <= Reconnect
+//	dead instance: lease, pause, call                                 <= Reconnect + removalSlack
+//	stop:          look-up drain, requests in progress, exit margin   <= Grace
+//
+// A watch is deaf if it hears of no change although its connection is open.
+//
+// Usage:
+//
+//	k := timekeeper.Timekeeper{Bounds: settings.Bounds}
+//	f := &follower.Follower{Wait: k.FollowWait(), Timeout: k.FollowTimeout(), ...}
+//	findings := k.Check()   // bounds that are too short to be kept
+package timekeeper
+
+import (
+	"time"
+
+	"github.com/yuccathread/yuccathread/internal/model"
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+// The steps of a chain as percentages of its bound. What they leave is for calls
+// and for late timers.
+const (
+	pausePercent         = 55
+	followWaitPercent    = 50
+	followTimeoutPercent = 18
+	retryDelayPercent    = 8
+	readTimeoutPercent   = 40
+	probeTimeoutPercent  = 18
+	lookUpDrainPercent   = 52
+	exitMarginPercent    = 7
+)
+
+const (
+	// removalSlack is how much later than Reconnect a dead instance may still be in
+	// the results of look-ups.
+	removalSlack = 3 * time.Second
+	// callAllowance is the time for one call to the store and for late timers.
+	callAllowance = 400 * time.Millisecond
+	// renewalsPerLease leaves time for two failed renewals within a lease.
+	renewalsPerLease = 3
+	// retriesPerLease and callsPerLease divide a lease into the pause after a failed
+	// call and the timeout of a call.
+	retriesPerLease = 12
+	callsPerLease   = 4
+	// maxLookUpLifetime is short, so that callers soon stop using an instance that
+	// stops.
+	maxLookUpLifetime = time.Second
+	// cacheFactor is how many times the lifetime of a result callers may use it.
+	cacheFactor = 3
+	// cacheMargin is added to the time for which callers may use a result.
+	cacheMargin = 200 * time.Millisecond
+)
+
+// The shortest bounds that can be kept, given the duration of calls to a store and
+// the shortest lease that it grants.
+const (
+	minPause     = 200 * time.Millisecond
+	minReconnect = time.Second
+	minLease     = time.Second
+	minGrace     = time.Second
+)
+
+// Timekeeper derives times from bounds. Set Bounds before the first call.
+type Timekeeper struct {
+	Bounds traffic.Bounds
+}
+
+// Pause is the time between two calls that follow the store. One call then returns
+// several changes.
+func (k *Timekeeper) Pause() time.Duration {
+	return k.changeBound() * pausePercent / 100
+}
+
+// changeBound is the shortest time within which a change in the store must be in
+// force.
+func (k *Timekeeper) changeBound() time.Duration {
+	return min(k.Bounds.Drain.Duration, k.Bounds.Apply.Duration, k.Bounds.Evacuation.Duration)
+}
+
+// FollowWait is how long one call waits for changes.
+func (k *Timekeeper) FollowWait() time.Duration {
+	return k.ofReconnect(followWaitPercent)
+}
+
+// FollowTimeout is how much later than its wait a call may respond.
+func (k *Timekeeper) FollowTimeout() time.Duration {
+	return k.ofReconnect(followTimeoutPercent)
+}
+
+// RetryDelay is the mean pause after a failed call. The pause is at most one and a
+// half times as long.
+func (k *Timekeeper) RetryDelay() time.Duration {
+	return k.ofReconnect(retryDelayPercent)
+}
+
+// ReadTimeout is how long a full read may go without receiving data.
+func (k *Timekeeper) ReadTimeout() time.Duration {
+	return k.ofReconnect(readTimeoutPercent)
+}
+
+// ProbeTimeout is the shorter timeout of calls while the store is unavailable: a
+// call that hangs must not delay noticing that the store is back.
+func (k *Timekeeper) ProbeTimeout() time.Duration {
+	return k.ofReconnect(probeTimeoutPercent)
+}
+
+func (k *Timekeeper) ofReconnect(percent time.Duration) time.Duration {
+	return k.Bounds.Reconnect.Duration * percent / 100
+}
+
+// Lease is the time to live of an instance's record.
+func (k *Timekeeper) Lease() time.Duration {
+	return k.Bounds.Reconnect.Duration + removalSlack - k.Pause() - callAllowance
+}
+
+// RenewInterval is the time between two renewals of the lease.
+func (k *Timekeeper) RenewInterval() time.Duration {
+	return k.Lease() / renewalsPerLease
+}
+
+// LeaseRetryInterval is the pause after a failed call about the lease.
+func (k *Timekeeper) LeaseRetryInterval() time.Duration {
+	return k.Lease() / retriesPerLease
+}
+
+// LeaseCallTimeout bounds one call about the lease.
+func (k *Timekeeper) LeaseCallTimeout() time.Duration {
+	return k.Lease() / callsPerLease
+}
+
+// LookUpLifetime is how long a caller may cache the result of a look-up.
+func (k *Timekeeper) LookUpLifetime() time.Duration {
+	lifetime := min(maxLookUpLifetime, (k.lookUpDrainLimit()-cacheMargin)/cacheFactor)
+	if limit := k.Bounds.LookUpLifetime.Duration; limit > 0 {
+		lifetime = min(lifetime, limit)
+	}
+	return lifetime
+}
+
+// LookUpDrain is how long a stopping instance still accepts connections of callers
+// that have cached the result of a look-up.
+func (k *Timekeeper) LookUpDrain() time.Duration {
+	return cacheFactor*k.LookUpLifetime() + cacheMargin
+}
+
+func (k *Timekeeper) lookUpDrainLimit() time.Duration {
+	return k.Bounds.Grace.Duration * lookUpDrainPercent / 100
+}
+
+// ExitMargin is the part of the grace period that is kept for the exit of the
+// process.
+func (k *Timekeeper) ExitMargin() time.Duration {
+	return k.Bounds.Grace.Duration * exitMarginPercent / 100
+}
+
+// Check returns a finding for each bound that is too short to be kept.
+func (k *Timekeeper) Check() []model.Finding {
+	var findings []model.Finding
+	add := func(short bool, field string, shortest time.Duration) {
+		if short {
+			findings = append(findings, model.Finding{Field: field, Message: "must be at least " + shortest.String()})
+		}
+	}
+	shortestChange := time.Duration(minPause * 100 / pausePercent)
+	add(k.Bounds.Drain.Duration < shortestChange, "/bounds/drain", shortestChange)
+	add(k.Bounds.Apply.Duration < shortestChange, "/bounds/apply", shortestChange)
+	add(k.Bounds.Evacuation.Duration < shortestChange, "/bounds/evacuation", shortestChange)
+	add(k.Bounds.Reconnect.Duration < minReconnect, "/bounds/reconnect", minReconnect)
+	add(k.Bounds.Grace.Duration < minGrace, "/bounds/grace", minGrace)
+	if k.Lease() < minLease {
+		findings = append(findings, model.Finding{
+			Field:   "/bounds/reconnect",
+			Message: "must be longer beside these bounds: the lease of a record would be shorter than " + minLease.String(),
+		})
+	}
+	return findings
+}
--- /dev/null
+++ b/internal/timekeeper/timekeeper_test.go
@@ -0,0 +1,75 @@
+package timekeeper
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yuccathread/yuccathread/internal/model"
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+func seconds(n float64) model.Duration {
+	return model.Duration{Duration: time.Duration(n * float64(time.Second))}
+}
+
+// grid returns bounds from half to four times those of a small and of a large site.
+func grid() []traffic.Bounds {
+	var all []traffic.Bounds
+	for _, factor := range []float64{0.5, 0.75, 1, 1.5, 2, 3, 4} {
+		for _, b := range []traffic.Bounds{
+			{Drain: seconds(2.5), Apply: seconds(2.5), Evacuation: seconds(5), Reconnect: seconds(3), Grace: seconds(6), LookUpLifetime: seconds(5)},
+			{Drain: seconds(2.5), Apply: seconds(2.5), Evacuation: seconds(5), Reconnect: seconds(4), Grace: seconds(6)},
+			{Drain: seconds(4), Apply: seconds(4), Evacuation: seconds(5), Reconnect: seconds(5), Grace: seconds(10), LookUpLifetime: seconds(0.5)},
+		} {
+			for _, d := range []*model.Duration{&b.Drain, &b.Apply, &b.Evacuation, &b.Reconnect, &b.Grace} {
+				d.Duration = time.Duration(float64(d.Duration) * factor)
+			}
+			all = append(all, b)
+		}
+	}
+	return all
+}
+
+// The worst case of each chain of steps must end within its bound.
+func TestChainsEndWithinTheirBounds(t *testing.T) {
+	const call = 100 * time.Millisecond
+	for _, b := range grid() {
+		k := Timekeeper{Bounds: b}
+		assert.Equal(t, len(k.Check()), 0, "%+v", b)
+		for _, bound := range []model.Duration{b.Drain, b.Apply, b.Evacuation} {
+			assert.Assert(t, k.Pause()+call < bound.Duration, "%+v", b)
+		}
+		longestRetryDelay := k.RetryDelay() * 3 / 2
+		assert.Assert(t, k.FollowWait()+k.FollowTimeout()+longestRetryDelay+call < b.Reconnect.Duration, "%+v", b)
+		assert.Assert(t, k.Lease()+k.Pause()+call < b.Reconnect.Duration+3*time.Second, "%+v", b)
+		assert.Assert(t, 2*(k.RenewInterval()+k.LeaseRetryInterval()) < k.Lease(), "%+v", b)
+		assert.Assert(t, k.LookUpDrain() >= 3*k.LookUpLifetime(), "%+v", b)
+		assert.Assert(t, k.LookUpDrain()+k.ExitMargin() < b.Grace.Duration*2/3, "%+v", b)
+		assert.Assert(t, k.LookUpLifetime() > 0)
+		assert.Assert(t, b.LookUpLifetime.Duration == 0 || k.LookUpLifetime() <= b.LookUpLifetime.Duration)
+	}
+}
+
+// Bounds that cannot be kept are findings, each with its field.
+func TestBoundsThatCannotBeKept(t *testing.T) {
+	valid := grid()[0]
+	for field, shorten := range map[string]func(*traffic.Bounds){
+		"/bounds/drain":      func(b *traffic.Bounds) { b.Drain = seconds(0.2) },
+		"/bounds/apply":      func(b *traffic.Bounds) { b.Apply = seconds(0) },
+		"/bounds/evacuation": func(b *traffic.Bounds) { b.Evacuation = seconds(-1) },
+		"/bounds/reconnect":  func(b *traffic.Bounds) { b.Reconnect = seconds(0.9) },
+		"/bounds/grace":      func(b *traffic.Bounds) { b.Grace = seconds(0.5) },
+	} {
+		b := valid
+		shorten(&b)
+		findings := (&Timekeeper{Bounds: b}).Check()
+		assert.Equal(t, len(findings), 1, "%s: %v", field, findings)
+		assert.Equal(t, findings[0].Field, field)
+	}
+	long := valid
+	long.Drain, long.Apply, long.Evacuation = seconds(30), seconds(30), seconds(30)
+	findings := (&Timekeeper{Bounds: long}).Check()
+	assert.Equal(t, len(findings), 1, "a lease of no length: %v", findings)
+}
--- a/internal/traffic/settings.go
+++ b/internal/traffic/settings.go
@@ -33,6 +33,11 @@
 	Drain model.Duration `json:"drain"`
 	// Apply is how soon a new configuration must be in force.
 	Apply model.Duration `json:"apply"`
+	// Evacuation is how soon an evacuated failure domain must get no more requests.
+	Evacuation model.Duration `json:"evacuation"`
+	// Reconnect is how soon after a disturbance of the store, or of the connection to
+	// it, an instance must follow the store again.
+	Reconnect model.Duration `json:"reconnect"`
 	// Grace is the time between the stop request and the kill of the process.
 	Grace model.Duration `json:"grace"`
 	// ReturnWait is how long after a store outage a server or an instance whose record
