Count a server's reported pace in the expected time

Cause: servers share their machines with others. It was not used, and such samples were learned as a slow server and as longer work.

Ruled out: averaging it (old news is worse than none after half a second).

Change: the expected time at a server is multiplied by its pace, which decays towards the usual one with a time constant of 400 ms. Samples at an unusual pace or with a queue teach neither work times nor slowness.

--- a/internal/steerer/fleet_server_test.go
+++ b/internal/steerer/fleet_server_test.go
@@ -17,6 +17,10 @@
 	cacheSize int
 	// slowdown multiplies the time of all work.
 	slowdown float64
+	// pace, if set, multiplies the time of work that starts now. It is part of the load
+	// reports if reportsPace is set.
+	pace        float64
+	reportsPace bool
 	// rejectRate is the fraction of requests that the server rejects.
 	rejectRate float64
 	// down servers refuse connections.
@@ -67,7 +71,11 @@
 }
 
 func (s *simServer) load() traffic.Load {
-	return traffic.Load{Known: true, Running: s.running, Waiting: len(s.queue), Slots: s.Slots}
+	load := traffic.Load{Known: true, Running: s.running, Waiting: len(s.queue), Slots: s.Slots}
+	if s.reportsPace {
+		load.Pace = s.pace
+	}
+	return load
 }
 
 func (f *fleet) execute(s *simServer, a *simAttempt) {
@@ -75,6 +83,9 @@
 	s.executed++
 	a.running = true
 	work := float64(a.call.kind.work) * s.slowdown * (0.85 + 0.3*f.random.Float64())
+	if s.pace > 0 {
+		work *= s.pace
+	}
 	key := a.call.kind.path + a.call.object
 	if slices.Contains(s.cached, key) {
 		work *= simCachedFraction
--- a/internal/steerer/fleet_test.go
+++ b/internal/steerer/fleet_test.go
@@ -310,6 +310,16 @@
 	return worst
 }
 
+// inTimeShare returns the share of all requests that were answered in time.
+func (f *fleet) inTimeShare() float64 {
+	var sum outcomeCounts
+	for _, counts := range f.totals {
+		sum.requests += counts.requests
+		sum.inTime += counts.inTime
+	}
+	return sum.inTimeShare()
+}
+
 func (f *fleet) report() {
 	for _, k := range f.kinds {
 		f.t.Logf("%-8s %+v in time %.3f", k.path, *f.totals[k.path], f.totals[k.path].inTimeShare())
--- a/internal/steerer/load_test.go
+++ b/internal/steerer/load_test.go
@@ -1,6 +1,8 @@
 package steerer
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,3 +105,32 @@
 	failedAfter := f.totals["/hold/"].failed - failedBefore
 	assert.Assert(t, failedAfter < f.totals["/hold/"].requests/200, "%d requests lost after the servers were ejected", failedAfter)
 }
+
+// Servers share their machines with others: now and then their work takes several
+// times as long for a moment. Where their load reports say so, requests must go to an
+// object's other server meanwhile: 3 in 100 more must be answered in time than where
+// the reports do not say so.
+func TestServersWhosePaceChanges(t *testing.T) {
+	run := func(reported bool) float64 {
+		f := newFleet(t, 7, [3]int{9, 9, 9}, siteTraffic())
+		for _, id := range slices.Sorted(maps.Keys(f.servers)) {
+			f.servers[id].reportsPace = reported
+			f.disturb(f.servers[id])
+		}
+		f.run(20 * time.Second)
+		f.report()
+		return f.inTimeShare()
+	}
+	unreported, reported := run(false), run(true)
+	assert.Assert(t, reported > unreported+0.03, "%.3f and %.3f in time", unreported, reported)
+}
+
+// disturb makes a server's work take longer for a moment, again and again.
+func (f *fleet) disturb(s *simServer) {
+	const disturbed, between = 600 * time.Millisecond, 2 * time.Second
+	s.pace = 1
+	f.schedule(time.Duration(f.random.ExpFloat64()*float64(between)), func() {
+		s.pace = 5
+		f.schedule(disturbed, func() { f.disturb(s) })
+	})
+}
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -101,6 +101,8 @@
 	}
 }
 
+// updateWorkTimes updates the route's work times and the server's slowdown, unless
+// the server had a queue or an unusual pace: the time then says little about either.
 func (s *Steerer) updateWorkTimes(c *call, a *attempt, o traffic.Outcome) {
 	u := a.server
 	took := o.Took
@@ -108,10 +110,13 @@
 		took -= regionRoundTrip
 	}
 	took = max(took, time.Millisecond)
-	if o.Reply.Load.Waiting == 0 && !s.isCold(u) {
+	if load := o.Reply.Load; load.Waiting > 0 || load.Pace > 0 && load.Pace != 1 {
+		return
+	}
+	if !s.isCold(u) {
 		c.route.workTimes.observe(a.cached, time.Duration(float64(took)/s.slowdownOf(u)))
 	}
-	if expected := c.route.workTimes.mean(a.cached); expected > 0 && o.Reply.Load.Waiting == 0 {
+	if expected := c.route.workTimes.mean(a.cached); expected > 0 {
 		s.updateSlowdown(u, float64(took)/float64(expected))
 	}
 }
--- a/internal/steerer/placement.go
+++ b/internal/steerer/placement.go
@@ -139,12 +139,13 @@
 // expectedTime returns the time from sending a call to a server until its response
 // arrives: waiting, work and the round trip.
 func (s *Steerer) expectedTime(c *call, u *upstream, load float64, cached bool) time.Duration {
-	work := float64(c.route.workTimes.mean(cached)) * s.slowdownOf(u)
+	slowdown := s.slowdownOf(u) * s.paceOf(u)
+	work := float64(c.route.workTimes.mean(cached)) * slowdown
 	if s.isCold(u) {
 		work *= coldSlowdown
 	}
 	if waiting := load - float64(u.Slots) + 1; waiting > 0 {
-		work += waiting / float64(u.Slots) * float64(c.route.workTimes.mean(true)) * s.slowdownOf(u)
+		work += waiting / float64(u.Slots) * float64(c.route.workTimes.mean(true)) * slowdown
 	}
 	expected := time.Duration(work)
 	if u.region != s.Self.Region {
--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -18,6 +18,9 @@
 	ejectPeriod = time.Second
 	// loadDecay is the time constant with which the weight of a load report decays.
 	loadDecay = time.Second
+	// paceDecay is the time constant with which a reported pace returns to the usual
+	// one. A machine's pace changes several times a second.
+	paceDecay = 400 * time.Millisecond
 	// statsHalfLife is the half-life of a server's failure rate and slowdown.
 	statsHalfLife = 3 * time.Second
 	// failureGain is the weight of one outcome in a server's failure rate.
@@ -201,6 +204,16 @@
 	return 1 + (u.slowdown-1)*halfLifeDecay(s.now.Sub(u.slowdownAt), statsHalfLife)
 }
 
+// paceOf returns how many times longer than usual work takes at a server at the
+// moment, as last reported. It decays towards 1 with the report's age.
+func (s *Steerer) paceOf(u *upstream) float64 {
+	if u.load.Pace <= 0 {
+		return 1
+	}
+	age := s.now.Sub(u.loadAt)
+	return 1 + (u.load.Pace-1)*math.Exp(-float64(age)/float64(paceDecay))
+}
+
 func halfLifeDecay(age, halfLife time.Duration) float64 {
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
