Give up a server whose record lapsed in time, however late an outage is seen to end

An instance was cut off from the store for 12 s. A server left meanwhile for good and its record was removed. The cut ended at 13.0 s; the instance noticed at 14.4 s, since a call to the store was hanging, and then waited 2 s more for the record: it sent a request at 16.41 s, 3.4 s after the cut, with a bound of 3 s.

Ruled out: not waiting at all (records of live servers lapse too while the store is away, and are back 2 s after its return); shorter calls (a slow store needs them).

Change: the follower says when the last call that failed was started; the outage has not ended before that. The wait for lapsed records ends within the reconnect bound counted from there.

Tests: TestServerThatLeftInAnOutageIsNotUsedPastTheReconnect, and the moment that the follower names is checked against outages of four lengths.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -37,12 +37,15 @@
 	// synced is set while changes can be followed from revision.
 	synced      bool
 	unavailable bool
-	probeCount  int
+	// failedCallAt is when the last call that failed was started.
+	failedCallAt time.Time
+	probeCount   int
 }
 
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for {
+		started := time.Now()
 		changes, err := f.next(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -53,6 +56,7 @@
 			// All instances notice this at the same time; the random delay spreads their reads.
 			sleep(ctx, jitter(f.Times.RetryDelay()))
 		case err != nil:
+			f.failedCallAt = started
 			f.storeFailed(err)
 			sleep(ctx, jitter(f.Times.RetryDelay()))
 		default:
@@ -92,7 +96,7 @@
 func (f *Follower) apply(changes traffic.Changes) {
 	if f.unavailable {
 		f.unavailable = false
-		f.Handle(traffic.StoreRegained{})
+		f.Handle(traffic.StoreRegained{SinceFailure: time.Since(f.failedCallAt)})
 	}
 	f.revision = changes.Revision
 	for _, err := range changes.Rejected {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -86,11 +86,12 @@
 		Times:  times(1),
 		Handle: func(e traffic.Event) {
 			events = append(events, e)
-			switch e.(type) {
+			switch e := e.(type) {
 			case traffic.StoreLost:
 				moments["lost"] = time.Since(started)
 			case traffic.StoreRegained:
 				moments["regained"] = time.Since(started)
+				moments["failed call"] = time.Since(started) - e.SinceFailure
 			}
 		},
 	}
@@ -108,6 +109,8 @@
 			assert.Assert(t, moments["lost"] > 0)
 			delay := moments["regained"] - silent - time.Second
 			assert.Assert(t, delay < 2*time.Second, "noticed %v after its return", delay)
+			assert.Assert(t, moments["failed call"] <= silent+time.Second, "the outage was still seen after its end")
+			assert.Assert(t, moments["failed call"] > silent-time.Second, "the end of the outage is known too vaguely")
 		})
 	}
 }
--- a/internal/steerer/belief.go
+++ b/internal/steerer/belief.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -10,7 +11,9 @@
 type storeState struct {
 	unavailable bool
 	lostAt      time.Time
-	regainedAt  time.Time
+	// recordsDueAt is the time by which records that lapsed in the last outage must be
+	// back.
+	recordsDueAt time.Time
 }
 
 func (s *Steerer) handleStoreLost(e traffic.StoreLost) {
@@ -21,12 +24,13 @@
 	s.recordStateChange("store lost", attr("error", e.Err.Error()))
 }
 
-func (s *Steerer) handleStoreRegained() {
+func (s *Steerer) handleStoreRegained(e traffic.StoreRegained) {
 	if !s.store.unavailable {
 		return
 	}
 	outage := s.now.Sub(s.store.lostAt)
-	s.store = storeState{regainedAt: s.now}
+	times := timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
+	s.store = storeState{recordsDueAt: s.now.Add(times.LapsedRecordWait(e.SinceFailure))}
 	s.recordStateChange("store regained", attr("away_for", outage))
 }
 
@@ -36,10 +40,10 @@
 	if s.store.unavailable {
 		return s.now.Add(s.Settings.Bounds.ReturnWait.Duration)
 	}
-	if s.store.regainedAt.IsZero() {
+	if s.store.recordsDueAt.IsZero() {
 		return s.now
 	}
-	return s.store.regainedAt.Add(s.Settings.Bounds.ReturnWait.Duration)
+	return s.store.recordsDueAt
 }
 
 func (s *Steerer) handleEvacuationSeen(domain string) {
--- a/internal/steerer/belief_test.go
+++ b/internal/steerer/belief_test.go
@@ -50,6 +50,26 @@
 	}
 }
 
+// A server leaves while this instance is cut off from the store. The longer ago the
+// last failed call to the store was started, the sooner the server must be given up:
+// the cut may have ended then, and the server has left for good.
+func TestServerThatLeftInAnOutageIsNotUsedPastTheReconnect(t *testing.T) {
+	for _, sinceFailure := range []time.Duration{0, 500 * time.Millisecond, 1700 * time.Millisecond, 5 * time.Second} {
+		b := newReadyBench(t, server("s1", "a1"), server("s2", "a2"))
+		b.Settings.Bounds.Reconnect.Duration = 3 * time.Second
+		b.handle(traffic.StoreLost{Err: errReset})
+		outageEnded := b.now.Add(10 * time.Second)
+		b.advance(10*time.Second + sinceFailure).handle(traffic.StoreRegained{SinceFailure: sinceFailure})
+		b.handle(traffic.UpstreamsListed{IDs: map[string]bool{"s2": true}})
+		for b.upstreams["s1"] != nil {
+			b.advance(100 * time.Millisecond).handle(traffic.Ticked{})
+		}
+		used := b.now.Sub(outageEnded)
+		assert.Assert(t, used < max(3*time.Second, sinceFailure+200*time.Millisecond), "used until %v after the outage", used)
+		assert.Assert(t, sinceFailure > 500*time.Millisecond || used >= 2*time.Second, "given up after %v", used)
+	}
+}
+
 func TestServerIsKeptWhenItsRecordReturns(t *testing.T) {
 	b := newReadyBench(t, server("s1", "a1"))
 	b.handle(traffic.StoreLost{Err: errReset})
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -140,7 +140,7 @@
 	case traffic.StoreLost:
 		s.handleStoreLost(e)
 	case traffic.StoreRegained:
-		s.handleStoreRegained()
+		s.handleStoreRegained(e)
 	}
 }
 
--- a/internal/steerer/world_test.go
+++ b/internal/steerer/world_test.go
@@ -24,7 +24,7 @@
 	return traffic.Settings{
 		Domains: map[string]string{"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"},
 		Bounds: traffic.Bounds{
-			ReturnWait: d(2 * time.Second), RetryRatio: 0.2, RetrySlack: 50, ColdFactor: 1.5, ColdSlack: 5,
+			ReturnWait: d(2 * time.Second), Reconnect: d(4 * time.Second), RetryRatio: 0.2, RetrySlack: 50, ColdFactor: 1.5, ColdSlack: 5,
 			LookUpLifetime: d(5 * time.Second), Grace: d(6 * time.Second),
 			ShiftCap: 0.15, ShiftWindow: d(2 * time.Second),
 		},
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -4,6 +4,7 @@
 //
 //	calm store:    pause, call                                        <= Drain, Apply, Evacuation
 //	deaf watch:    wait, timeout, retry delay, full read              <= Reconnect
+//	left server:   probe of the store, retry delay, record wait       <= Reconnect
 //	dead instance: lease, pause, call                                 <= Reconnect + removalSlack
 //	stop:          look-up drain, requests in progress, exit margin   <= Grace
 //
@@ -114,6 +115,14 @@
 	return k.Bounds.Reconnect.Duration * percent / 100
 }
 
+// LapsedRecordWait is how long after an outage a record that is missing from the store
+// is waited for. sinceFailure is the time since the outage was last seen. Where it is
+// long, the outage may have ended long ago, and the wait is shorter: a server that has
+// left for good must not be used longer than Reconnect after the outage.
+func (k *Timekeeper) LapsedRecordWait(sinceFailure time.Duration) time.Duration {
+	return max(0, min(k.Bounds.ReturnWait.Duration, k.Bounds.Reconnect.Duration-sinceFailure-callAllowance))
+}
+
 // Lease is the time to live of an instance's record.
 func (k *Timekeeper) Lease() time.Duration {
 	return k.Bounds.Reconnect.Duration + removalSlack - k.Pause() - callAllowance
--- a/internal/timekeeper/timekeeper_test.go
+++ b/internal/timekeeper/timekeeper_test.go
@@ -17,6 +17,7 @@
 // grid returns bounds from half to four times those of a small and of a large site.
 func grid() []traffic.Bounds {
 	var all []traffic.Bounds
+	const returnWait = 2
 	for _, factor := range []float64{0.5, 0.75, 1, 1.5, 2, 3, 4} {
 		for _, b := range []traffic.Bounds{
 			{Drain: seconds(2.5), Apply: seconds(2.5), Evacuation: seconds(5), Reconnect: seconds(3), Grace: seconds(6), LookUpLifetime: seconds(5)},
@@ -26,6 +27,7 @@
 			for _, d := range []*model.Duration{&b.Drain, &b.Apply, &b.Evacuation, &b.Reconnect, &b.Grace} {
 				d.Duration = time.Duration(float64(d.Duration) * factor)
 			}
+			b.ReturnWait = seconds(returnWait)
 			all = append(all, b)
 		}
 	}
@@ -43,6 +45,10 @@
 		}
 		longestRetryDelay := k.RetryDelay() * 3 / 2
 		assert.Assert(t, k.FollowWait()+k.FollowTimeout()+longestRetryDelay+call < b.Reconnect.Duration, "%+v", b)
+		for _, sinceFailure := range []time.Duration{0, k.ProbeTimeout(), k.ReadTimeout() + longestRetryDelay, b.Reconnect.Duration} {
+			wait := k.LapsedRecordWait(sinceFailure)
+			assert.Assert(t, sinceFailure >= b.Reconnect.Duration || sinceFailure+wait+call < b.Reconnect.Duration, "%+v", b)
+		}
 		assert.Assert(t, k.Lease()+k.Pause()+call < b.Reconnect.Duration+3*time.Second, "%+v", b)
 		assert.Assert(t, 2*(k.RenewInterval()+k.LeaseRetryInterval()) < k.Lease(), "%+v", b)
 		assert.Assert(t, k.LookUpDrain() >= 3*k.LookUpLifetime(), "%+v", b)
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -76,7 +76,11 @@
 type StoreLost struct{ Err error }
 
 // StoreRegained reports that the store responds again.
-type StoreRegained struct{}
+type StoreRegained struct {
+	// SinceFailure is the time since the start of the last call that failed. The outage
+	// has not ended before that.
+	SinceFailure time.Duration
+}
 
 // SettingsReloaded reports that the settings were reloaded.
 type SettingsReloaded struct{ Settings Settings }
