Measure round trips, and eject a server that has been silent for a whole timeout

Spilling and spare connections counted on the wrong one, and the time to open a connection was learned as work.

Ruled out: a setting (the platform does not tell it).

Change: the time to open a connection is a sample of the round trip to the server's failure domain; measurer keeps the undisturbed value. Opening is no longer part of a work time. The model's servers report it.

With it: a server that has answered nothing since an attempt was sent, until the attempt's deadline, is ejected at once instead of after two such attempts.

--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -38,6 +38,8 @@
 	limiter   *limiter
 	reader    *bufio.Reader
 	idleSince time.Time
+	// connected is how long opening the connection took.
+	connected time.Duration
 	// keepIdle is how long the server keeps an idle connection; zero if it did not say.
 	keepIdle time.Duration
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -89,6 +89,9 @@
 		}
 		reused := !c.idleSince.IsZero()
 		outcome := f.exchangeOn(ctx, c, request, send)
+		if !reused {
+			outcome.Connected = c.connected
+		}
 		if !reused || !errors.Is(outcome.Err, errNotSent) || ctx.Err() != nil {
 			return outcome
 		}
@@ -162,6 +165,7 @@
 // dial opens a connection that its pool already counts as open, and uncounts it
 // if that fails.
 func (f *Forwarder) dial(ctx context.Context, key, address string, timeout time.Duration) (*connection, error) {
+	started := f.Clock.Now()
 	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -172,6 +176,7 @@
 		f.Opened()
 	}
 	c := newConnection(f, key, conn)
+	c.connected = f.Clock.Now().Sub(started)
 	go c.read()
 	return c, nil
 }
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -155,7 +155,7 @@
 // make a slow response miss the route's target latency.
 func (s *Steerer) spareCount(c *call, u *upstream) int {
 	slowResponse := c.route.workTimes.mean(true) * slowResponsePercent / 100
-	if u.region == s.Self.Region || slowResponse+2*regionRoundTrip <= c.route.Target {
+	if u.region == s.Self.Region || slowResponse+2*s.roundTrip(u).Value() <= c.route.Target {
 		return 0
 	}
 	return spareConnections
--- a/internal/steerer/fleet_server_test.go
+++ b/internal/steerer/fleet_server_test.go
@@ -135,7 +135,8 @@
 			return
 		}
 		a.ended = true
-		o.Took = f.now.Sub(a.send.Deadline.Add(-a.call.kind.deadline * 2 / 3))
+		o.Connected = 2 * delay
+		o.Took = o.Connected + f.now.Sub(a.send.Deadline.Add(-a.call.kind.deadline*2/3))
 		f.deliver(a.instance, traffic.Ended{Call: a.send.Call, Attempt: a.send.Attempt, Outcome: o})
 	})
 }
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -59,7 +59,11 @@
 // attempt's outcome.
 func (s *Steerer) observeOutcome(c *call, a *attempt, o traffic.Outcome) {
 	u := a.server
+	if o.Reply.Status > 0 {
+		u.respondedAt = s.now
+	}
 	s.updateLoad(u, o.Reply.Load)
+	s.roundTrip(u).Observe(o.Connected)
 	if c.answered && o.Fate != traffic.Ran {
 		if u.ejector.HalfOpen(s.now) && s.now.Sub(a.sentAt) >= overdueAfter(a.expected) {
 			s.countFailure(u, 1, "another server answered first")
@@ -105,11 +109,7 @@
 // the server had a queue or an unusual pace: the time then says little about either.
 func (s *Steerer) updateWorkTimes(c *call, a *attempt, o traffic.Outcome) {
 	u := a.server
-	took := o.Took
-	if u.region != s.Self.Region {
-		took -= regionRoundTrip
-	}
-	took = max(took, time.Millisecond)
+	took := max(o.Took-o.Connected-s.roundTrip(u).Value(), time.Millisecond)
 	if load := o.Reply.Load; load.Waiting > 0 || load.Pace > 0 && load.Pace != 1 {
 		return
 	}
@@ -184,7 +184,7 @@
 	}
 	for _, a := range c.pending {
 		if s.now.Sub(a.sentAt) >= a.expected {
-			s.countFailure(a.server, 1, "no response before the request's deadline")
+			s.countFailure(a.server, silenceWeight(a), "no response before the request's deadline")
 		}
 	}
 	s.cancelAttempts(c)
@@ -192,6 +192,16 @@
 	s.refuse(c, traffic.TooLate, traffic.Unknown, 0)
 }
 
+// silenceWeight returns the number of failures that an attempt without a response
+// counts as. A server that has not responded to anything since the attempt was sent
+// is ejected at once.
+func silenceWeight(a *attempt) int {
+	if a.server.respondedAt.Before(a.sentAt) {
+		return ejectFailures
+	}
+	return 1
+}
+
 // handleCallerLeft handles a caller that has closed its connection. It cancels
 // the call's attempts, except for requests that must not run twice: those are
 // left to run to the end, so that their effects are complete.
--- a/internal/steerer/placement.go
+++ b/internal/steerer/placement.go
@@ -6,12 +6,14 @@
 	"slices"
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/measurer"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
 const (
-	// regionRoundTrip is the network round-trip time to another region.
-	regionRoundTrip = 110 * time.Millisecond
+	// initialRoundTrip is the network round-trip time to another region until a
+	// connection to it has been opened.
+	initialRoundTrip = 50 * time.Millisecond
 	// coldSlowdown is how many times longer a cold server takes.
 	coldSlowdown = 2
 	// failurePenalty is the time, in target latencies, added to the cost of a server
@@ -147,9 +149,18 @@
 	if waiting := load - float64(u.Slots) + 1; waiting > 0 {
 		work += waiting / float64(u.Slots) * float64(c.route.workTimes.mean(true)) * slowdown
 	}
-	expected := time.Duration(work)
-	if u.region != s.Self.Region {
-		expected += regionRoundTrip
+	return time.Duration(work) + s.roundTrip(u).Value()
+}
+
+// roundTrip returns the measured round-trip time to a server's failure domain.
+func (s *Steerer) roundTrip(u *upstream) *measurer.Measurer {
+	m := s.roundTrips[u.Domain]
+	if m == nil {
+		m = &measurer.Measurer{}
+		if u.region != s.Self.Region {
+			m.Initial = initialRoundTrip
+		}
+		s.roundTrips[u.Domain] = m
 	}
-	return expected
+	return m
 }
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -21,6 +21,7 @@
 	"strings"
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/measurer"
 	"github.com/yuccathread/yuccathread/internal/splitter"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
@@ -48,8 +49,10 @@
 	// until which its servers are treated as cold, even if no report says so.
 	coldDomains map[string]time.Time
 	calls       map[uint64]*call
-	instances   membership
-	serving     bool
+	// roundTrips maps each failure domain to the round-trip time to its servers.
+	roundTrips map[string]*measurer.Measurer
+	instances  membership
+	serving    bool
 	// stoppingSince is when the stop was requested, or zero if it was not.
 	stoppingSince time.Time
 	// regionNames caches the names of the regions in the settings.
@@ -84,6 +87,7 @@
 	s.evacuated = make(map[string]bool)
 	s.coldDomains = make(map[string]time.Time)
 	s.calls = make(map[uint64]*call)
+	s.roundTrips = make(map[string]*measurer.Measurer)
 	s.instances.initialize()
 }
 
--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -67,6 +67,9 @@
 	slowdown   float64
 	slowdownAt time.Time
 
+	// respondedAt is when this instance last got a response from the server.
+	respondedAt time.Time
+
 	// missing is set while the store holds no record of the server. The server is
 	// removed at keepUntil unless the record returns.
 	missing   bool
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -64,8 +64,11 @@
 	Reply Reply
 	// Unreachable is set if no connection could be opened.
 	Unreachable bool
-	// Took is the duration of the attempt.
+	// Took is the duration of the attempt, including Connected.
 	Took time.Duration
+	// Connected is how long opening the connection took, or zero if an idle one was
+	// used.
+	Connected time.Duration
 	// Err is the error that ended the attempt, for the log.
 	Err error
 }
