Keep an instance without a configuration alive

Cause: capacity and freeServer read the policy's times of recovery, and the digest for the other instances asks for the capacity of each pool with servers. Without a configuration the policy is nil, so every instance ended with a nil pointer once its servers were listed.

Change: until there is a configuration no slot may be used, in one method that the three places share.

--- a/internal/reducer/pool.go
+++ b/internal/reducer/pool.go
@@ -149,7 +149,7 @@
 	var best *server
 	lowestUse := 1.0
 	for _, s := range p.servers {
-		allowed := s.allowedSlots(r.now, r.policy.Recovery)
+		allowed := r.allowedSlots(s)
 		busy := s.busySlots(r.now)
 		if busy >= allowed {
 			continue
@@ -161,6 +161,15 @@
 	return best
 }
 
+// allowedSlots returns the number of a server's slots that may be in use, which is zero
+// until there is a configuration.
+func (r *Reducer) allowedSlots(s *server) int {
+	if r.policy == nil {
+		return 0
+	}
+	return s.allowedSlots(r.now, r.policy.Recovery)
+}
+
 // capacity returns the number of slots that may be in use and the number that
 // are.
 func (r *Reducer) capacity(p *pool) (allowed, busy int) {
@@ -168,7 +177,7 @@
 		return 0, 0
 	}
 	for _, s := range p.servers {
-		n := s.allowedSlots(r.now, r.policy.Recovery)
+		n := r.allowedSlots(s)
 		allowed += n
 		busy += min(n, s.busySlots(r.now))
 	}
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -40,18 +40,15 @@
 }
 
 func (r *Reducer) serverStatus(s *server) model.ServerStatus {
-	status := model.ServerStatus{
+	return model.ServerStatus{
 		Name:     s.Name,
 		Service:  s.Service,
 		InFlight: s.inFlight,
 		Draining: s.draining(r.now),
 		Ejected:  s.Ejected(r.now),
 		Owned:    s.owned,
+		Allowed:  r.allowedSlots(s),
 	}
-	if r.policy != nil {
-		status.Allowed = s.allowedSlots(r.now, r.policy.Recovery)
-	}
-	return status
 }
 
 func (r *Reducer) domainStatuses() []model.DomainStatus {
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -139,6 +139,14 @@
 
 // loadDeployment builds a simulation from the example files of a deployment.
 func loadDeployment(t testing.TB, seed uint64, deployment string) *simulation {
+	sim, configuration := loadUnconfigured(t, seed, deployment)
+	assert.NilError(t, sim.patch(0, "first", replacementPatch(t, configuration)))
+	return sim
+}
+
+// loadUnconfigured builds a simulation whose store holds no configuration, and returns
+// the deployment's.
+func loadUnconfigured(t testing.TB, seed uint64, deployment string) (*simulation, model.Configuration) {
 	sim := newSimulation(t, seed)
 	var standIns model.StandIns
 	readJSON(t, "../../examples/"+deployment+"/stand-ins.jsonc", &standIns)
@@ -154,13 +162,12 @@
 		meanWorkTime := entry.ServiceTime.Duration
 		sim.addServer(entry.Server, entry.Slots, func() time.Duration { return sim.jitter(meanWorkTime) })
 	}
-	assert.NilError(t, sim.patch(0, "first", replacementPatch(t, configuration)))
 	for _, domain := range sortedKeys(standIns.Listings) {
 		for _, entry := range standIns.Listings[domain].Instances {
 			sim.addInstance(entry.Instance)
 		}
 	}
-	return sim
+	return sim, configuration
 }
 
 func readJSON(t testing.TB, path string, value any) {
