Let a few instances of each region follow the store for the others

Change, three parts that were measured one after the other: - relayer: two readers for a region, one for each sixteen instances from there on, chosen by hash from the records; the others wait for changes at them and turn to the store as soon as no reader has all changes since their own revision. Times follow from the bounds, so that the loss of a reader at any moment ends inside them. - The record is written again only if it was missing as of a later revision than its write. - A full read uses the store's cheap mode and then the changes since; the lists that make an instance ready come after these.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -27,9 +27,9 @@
 	Clock     clock.Clock
 	// Record writes a log line; it must not block.
 	Record func(traffic.Record)
-	// Reannounce is called when this instance's record is missing from the store; it
-	// must not block.
-	Reannounce func()
+	// Reannounce is called when this instance's record is missing from the store as of a
+	// revision; it must not block.
+	Reannounce func(revision int64)
 
 	mutex    sync.Mutex
 	lastCall uint64
@@ -143,7 +143,7 @@
 	case traffic.Record:
 		c.Record(e)
 	case traffic.Reannounce:
-		c.Reannounce()
+		c.Reannounce(e.Revision)
 	}
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -32,6 +32,9 @@
 	// Times gives the waits, pauses and timeouts. There is no pause in a backlog, nor
 	// after a wait without changes.
 	Times timekeeper.Timekeeper
+	// Pause returns the pause after a call that returned changes; if it is nil, Times
+	// gives the pause.
+	Pause func() time.Duration
 
 	revision int64
 	// synced is set while changes can be followed from revision.
@@ -62,13 +65,20 @@
 		default:
 			f.apply(changes)
 			if f.synced && !changes.More && len(changes.Events) > 0 {
-				sleep(ctx, f.Times.Pause())
+				sleep(ctx, f.pause())
 			}
 			f.synced = true
 		}
 	}
 }
 
+func (f *Follower) pause() time.Duration {
+	if f.Pause == nil {
+		return f.Times.Pause()
+	}
+	return f.Pause()
+}
+
 // next reads all records at first and after the history was dropped; otherwise
 // it waits for changes.
 func (f *Follower) next(ctx context.Context) (traffic.Changes, error) {
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/model"
+	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
 const (
@@ -63,6 +64,13 @@
 	return table, err
 }
 
+// Changes requests changes of the store.
+func (g *Gossiper) Changes(address string, query traffic.ChangesQuery) (traffic.ChangesReply, error) {
+	var reply traffic.ChangesReply
+	err := g.call(address, "Changes", query, &reply)
+	return reply, err
+}
+
 // Timeline requests records from an instance's timeline.
 func (g *Gossiper) Timeline(address string, query model.TimelineQuery) ([]model.Record, error) {
 	var records []model.Record
@@ -160,8 +168,8 @@
 	}
 }
 
-// Serve registers the methods of peer (Exchange, Configuration, Table, Timeline)
-// on a mux.
+// Serve registers the methods of peer (Exchange, Configuration, Table, Timeline, or
+// Changes on a managed platform) on a mux.
 func Serve(mux *http.ServeMux, peer any) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName(rpcService, peer); err != nil {
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -25,8 +25,10 @@
 	"github.com/yuccathread/yuccathread/internal/collector"
 	"github.com/yuccathread/yuccathread/internal/follower"
 	"github.com/yuccathread/yuccathread/internal/forwarder"
+	"github.com/yuccathread/yuccathread/internal/gossiper"
 	"github.com/yuccathread/yuccathread/internal/receiver"
 	"github.com/yuccathread/yuccathread/internal/registrar"
+	"github.com/yuccathread/yuccathread/internal/relayer"
 	"github.com/yuccathread/yuccathread/internal/steerer"
 	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
@@ -69,6 +71,7 @@
 	carrier         *carrier.Carrier
 	receiver        *receiver.Receiver
 	registrar       *registrar.Registrar
+	relayer         *relayer.Relayer
 	frequentLimiter *rate.Limiter
 	failureLimiter  *rate.Limiter
 	// undecoded holds the fields of messages that were already logged as undecoded.
@@ -107,6 +110,7 @@
 		Domain:      s.Domain,
 		Region:      s.Region,
 		Address:     s.CallerAddress,
+		PeerAddress: s.PeerAddress,
 		Incarnation: strconv.FormatUint(rand.Uint64(), 36),
 	}
 	l.times = timekeeper.Timekeeper{Bounds: s.Bounds}
@@ -132,6 +136,16 @@
 		Record:     l.record,
 		Reannounce: l.registrar.Reannounce,
 	}
+	peers := gossiper.Gossiper{Timeout: l.times.RelayWait() + l.times.RelayTimeout()}
+	l.relayer = &relayer.Relayer{
+		Store:   l.Store,
+		Call:    peers.Changes,
+		Readers: l.readers,
+		Times:   l.times,
+		Clock:   l.Clock,
+		Relayed: metrics.GetOrRegisterCounter("changes.relayed", l.registry),
+		Direct:  metrics.GetOrRegisterCounter("changes.direct", l.registry),
+	}
 	l.receiver = &receiver.Receiver{
 		Carrier:      l.carrier,
 		Codec:        l.Codec,
@@ -144,6 +158,11 @@
 	}
 }
 
+func (l *Launcher) readers() (readers traffic.Readers) {
+	l.carrier.View(func(s *steerer.Steerer) { readers = s.Readers() })
+	return readers
+}
+
 // record writes a log line unless the rate limit on lines about requests is
 // exceeded; it counts the lines left out.
 func (l *Launcher) record(r traffic.Record) {
@@ -169,10 +188,11 @@
 
 func (l *Launcher) startFollower(ctx context.Context) {
 	f := &follower.Follower{
-		Store:  l.Store,
+		Store:  l.relayer,
 		Handle: l.carrier.Handle,
 		Logger: l.Logger,
 		Times:  l.times,
+		Pause:  l.relayer.Pause,
 	}
 	go f.Run(ctx)
 }
--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -35,6 +35,13 @@
 	add(l.Settings.ReadyAddress, "GET "+l.ReadyPath, http.HandlerFunc(l.receiver.Ready))
 	add(l.Settings.LookUpAddress, "GET "+l.LookUpPath, http.HandlerFunc(l.receiver.LookUp))
 	add(l.Settings.MetricsAddress, "GET /metrics", &exposer.Exposer{Registry: l.registry, Prefix: "yuccathread_", Update: l.updateGauges})
+	if l.Settings.PeerAddress != "" {
+		mux := http.NewServeMux()
+		if err := l.relayer.Serve(mux); err != nil {
+			return err
+		}
+		muxes[l.Settings.PeerAddress] = mux
+	}
 	for address, mux := range muxes {
 		server := &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
 		if err := l.serve(address, server, serveErrors); err != nil {
--- a/internal/preparer/preparer.go
+++ b/internal/preparer/preparer.go
@@ -92,6 +92,8 @@
 		_, err := netip.ParseAddrPort(setting.address)
 		add(err != nil, setting.field, "must be an IP address and a port")
 	}
+	_, err := netip.ParseAddrPort(s.PeerAddress)
+	add(s.PeerAddress != "" && err != nil, "/peer_address", "must be an IP address and a port, or empty")
 	add(len(s.Domains) == 0, "/failure_domains", "must name a region for each failure domain")
 	add(s.MemoryMB < 1, "/memory_mb", "must be at least 1")
 	add(s.LogLines < 0, "/log_lines_per_second", "must not be negative")
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -6,7 +6,7 @@
 //	r := &registrar.Registrar{Store: store, Instance: self, Logger: logger, Times: times}
 //	go r.Run(ctx)
 //	r.Leave()           // marks the record as leaving
-//	r.Reannounce()      // writes the record again
+//	r.Reannounce(revision)   // writes the record again
 package registrar
 
 import (
@@ -33,11 +33,14 @@
 	mutex  sync.Mutex
 	lease  int64
 	failed bool
-	// written is set once the record is stored under the current lease.
-	written bool
-	// rewriteRequests counts the requests to write the record again, so that one
-	// made during a call is not lost.
-	rewriteRequests int
+	// version counts the changes of Instance.
+	version int
+	// writtenAt is the revision of the newest write of the record under the current
+	// lease, and writtenVersion the version that it wrote.
+	writtenAt      int64
+	writtenVersion int
+	// missingAsOf is the newest revision as of which the record was missing.
+	missingAsOf int64
 }
 
 func (r *Registrar) initWake() {
@@ -65,16 +68,15 @@
 	}
 }
 
-// Reannounce causes the record to be written again.
-func (r *Registrar) Reannounce() {
-	r.initWake()
+// Reannounce causes the record to be written again, since it was missing as of a
+// revision of the store. It does nothing if the newest write of the record is later.
+func (r *Registrar) Reannounce(revision int64) {
 	r.mutex.Lock()
-	r.written = false
-	r.rewriteRequests++
+	r.missingAsOf = max(r.missingAsOf, revision)
+	written := r.written()
 	r.mutex.Unlock()
-	select {
-	case r.wake <- struct{}{}:
-	default:
+	if !written {
+		r.wakeUp()
 	}
 }
 
@@ -82,8 +84,23 @@
 func (r *Registrar) Leave() {
 	r.mutex.Lock()
 	r.Instance.Leaving = true
+	r.version++
 	r.mutex.Unlock()
-	r.Reannounce()
+	r.wakeUp()
+}
+
+func (r *Registrar) wakeUp() {
+	r.initWake()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// written reports whether the store holds the record in its current version. It is
+// called with the mutex held.
+func (r *Registrar) written() bool {
+	return r.writtenAt > r.missingAsOf && r.writtenVersion == r.version
 }
 
 // Withdraw ends the lease and so removes the record.
@@ -107,27 +124,35 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Times.LeaseCallTimeout())
 	defer cancel()
 	r.mutex.Lock()
-	lease, written, instance, rewriteRequests := r.lease, r.written, r.Instance, r.rewriteRequests
+	lease, written, instance, version := r.lease, r.written(), r.Instance, r.version
 	r.mutex.Unlock()
-	var err error
-	switch {
-	case lease == 0:
-		lease, err = r.Store.Grant(ctx, r.Times.Lease())
-		written = false
-	case written:
-		err = r.Store.Renew(ctx, lease)
-	}
-	if err == nil && !written {
-		err = r.Store.Announce(ctx, instance, lease)
-		written = err == nil
+	if lease != 0 && written {
+		return r.endIfGone(r.Store.Renew(ctx, lease))
 	}
-	if errors.Is(err, traffic.ErrLeaseEnded) {
-		lease = 0
+	if lease == 0 {
+		granted, err := r.Store.Grant(ctx, r.Times.Lease())
+		if err != nil {
+			return err
+		}
+		lease = granted
 	}
+	revision, err := r.Store.Announce(ctx, instance, lease)
 	r.mutex.Lock()
-	defer r.mutex.Unlock()
 	r.lease = lease
-	r.written = written && rewriteRequests == r.rewriteRequests
+	if err == nil {
+		r.writtenAt, r.writtenVersion = revision, version
+	}
+	r.mutex.Unlock()
+	return r.endIfGone(err)
+}
+
+// endIfGone forgets the lease if an error says that it has ended.
+func (r *Registrar) endIfGone(err error) error {
+	if errors.Is(err, traffic.ErrLeaseEnded) {
+		r.mutex.Lock()
+		r.lease, r.writtenAt = 0, 0
+		r.mutex.Unlock()
+	}
 	return err
 }
 
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -25,6 +25,8 @@
 	unavailable bool
 	record      *traffic.Instance
 	renewed     int
+	revision    int64
+	writes      int
 	// duringRenewal, if set, is called once while a lease is renewed.
 	duringRenewal func()
 }
@@ -62,14 +64,25 @@
 	return nil
 }
 
-func (s *fakeStore) Announce(_ context.Context, i traffic.Instance, _ int64) error {
+func (s *fakeStore) Announce(_ context.Context, i traffic.Instance, _ int64) (int64, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.unavailable {
-		return errUnavailable
+		return 0, errUnavailable
 	}
 	s.record = &i
-	return nil
+	s.revision++
+	s.writes++
+	return s.revision, nil
+}
+
+// removeRecord removes the record and returns the revision of the removal.
+func (s *fakeStore) removeRecord() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.record = nil
+	s.revision++
+	return s.revision
 }
 
 func (s *fakeStore) Withdraw(context.Context, int64) error {
@@ -116,10 +129,7 @@
 		synctest.Wait()
 		assert.Assert(t, store.storedRecord() != nil, "the record was not written under a new lease")
 
-		store.mutex.Lock()
-		store.record = nil
-		store.mutex.Unlock()
-		r.Reannounce()
+		r.Reannounce(store.removeRecord())
 		synctest.Wait()
 		assert.Assert(t, store.storedRecord() != nil, "the record was not written again")
 
@@ -162,10 +172,7 @@
 		synctest.Wait()
 		store.mutex.Lock()
 		store.duringRenewal = func() {
-			store.mutex.Lock()
-			store.record = nil
-			store.mutex.Unlock()
-			r.Reannounce()
+			r.Reannounce(store.removeRecord())
 		}
 		store.mutex.Unlock()
 		time.Sleep(3 * times.RenewInterval())
@@ -175,3 +182,22 @@
 		synctest.Wait()
 	})
 }
+
+// A full read of the store at the start may not contain the record that is being
+// written. Such a read is older than the write, so the record must not be written twice.
+func TestOlderReadDoesNotRepeatTheWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &fakeStore{revision: 10}
+		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler), Times: times}
+		r.Reannounce(9)
+		go r.Run(ctx)
+		synctest.Wait()
+		r.Reannounce(10)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, store.writes, 1)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -68,13 +68,13 @@
 	s.instances.updateLargest(s.now)
 }
 
-func (s *Steerer) handleInstanceGone(name string) {
+func (s *Steerer) handleInstanceGone(name string, revision int64) {
 	existing := s.instances.records[name]
 	if existing == nil || existing.missing {
 		return
 	}
 	if name == s.Self.Name && s.stoppingSince.IsZero() {
-		s.emit(traffic.Reannounce{})
+		s.emit(traffic.Reannounce{Revision: revision})
 		return
 	}
 	existing.missing = true
@@ -96,15 +96,15 @@
 	}
 }
 
-func (s *Steerer) handleInstancesListed(names map[string]bool) {
+func (s *Steerer) handleInstancesListed(e traffic.InstancesListed) {
 	s.instancesListed = true
 	for name := range s.instances.records {
-		if !names[name] {
-			s.handleInstanceGone(name)
+		if !e.Names[name] {
+			s.handleInstanceGone(name, e.Revision)
 		}
 	}
-	if !names[s.Self.Name] && s.stoppingSince.IsZero() {
-		s.emit(traffic.Reannounce{})
+	if !e.Names[s.Self.Name] && s.stoppingSince.IsZero() {
+		s.emit(traffic.Reannounce{Revision: e.Revision})
 	}
 }
 
--- /dev/null
+++ b/internal/steerer/readers.go
@@ -0,0 +1,68 @@
+package steerer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+const (
+	// minRelayed is the number of instances of a region from which on a few of them read
+	// the store for the others. Readers make more calls than an instance alone.
+	minRelayed = 6
+	// minReaders is the smallest number of readers, so that the others still have one if
+	// another fails.
+	minReaders = 2
+	// instancesPerReader bounds the work of a reader.
+	instancesPerReader = 16
+)
+
+// Readers returns who reads the store in this instance's region. All instances choose
+// the same readers as long as they know the same instances.
+func (s *Steerer) Readers() traffic.Readers {
+	if !s.instancesListed || s.Self.PeerAddress == "" || !s.stoppingSince.IsZero() {
+		return traffic.Readers{}
+	}
+	members := []traffic.Instance{s.Self}
+	for name, m := range s.instances.records {
+		if name != s.Self.Name && m.Region == s.Self.Region && m.PeerAddress != "" && !m.Leaving && !m.missing {
+			members = append(members, m.Instance)
+		}
+	}
+	if len(members) < minRelayed {
+		return traffic.Readers{}
+	}
+	sortByHash(members, "")
+	members = members[:max(minReaders, len(members)/instancesPerReader)]
+	if slices.ContainsFunc(members, func(i traffic.Instance) bool { return i.Name == s.Self.Name }) {
+		return traffic.Readers{Own: true}
+	}
+	// The order spreads the other instances over the readers; near ones come first.
+	sortByHash(members, s.Self.Name)
+	slices.SortStableFunc(members, func(a, b traffic.Instance) int {
+		return cmp.Compare(s.distance(a), s.distance(b))
+	})
+	var readers traffic.Readers
+	for _, i := range members {
+		readers.Addresses = append(readers.Addresses, i.PeerAddress)
+	}
+	return readers
+}
+
+// distance is 0 for an instance in this one's failure domain and 1 for any other.
+func (s *Steerer) distance(i traffic.Instance) int {
+	if i.Domain == s.Self.Domain {
+		return 0
+	}
+	return 1
+}
+
+// sortByHash sorts instances by the hashes of their names with a seed.
+func sortByHash(instances []traffic.Instance, seed string) {
+	slices.SortFunc(instances, func(a, b traffic.Instance) int {
+		return cmp.Compare(xxhash.Sum64String(seed+"\x00"+a.Name), xxhash.Sum64String(seed+"\x00"+b.Name))
+	})
+}
--- /dev/null
+++ b/internal/steerer/readers_test.go
@@ -0,0 +1,61 @@
+package steerer
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+// All instances of a region must choose the same readers, at any size: two at least,
+// and one for every sixteen instances. In a small region each reads for itself.
+func TestReadersOfARegion(t *testing.T) {
+	for _, c := range []struct{ instances, readers int }{{3, 0}, {5, 0}, {6, 2}, {24, 2}, {98, 6}, {237, 14}} {
+		t.Run(fmt.Sprint(c.instances), func(t *testing.T) {
+			var all []traffic.Instance
+			for i := range c.instances {
+				all = append(all, traffic.Instance{
+					Name: fmt.Sprintf("front-%d", i), Domain: fmt.Sprintf("a%d", i%2+1), Region: "a", PeerAddress: fmt.Sprintf("peer-%d", i),
+				})
+			}
+			others := []traffic.Instance{
+				{Name: "elsewhere", Domain: "b1", Region: "b", PeerAddress: "x"},
+				{Name: "leaving", Domain: "a1", Region: "a", PeerAddress: "x", Leaving: true},
+				{Name: "without an address", Domain: "a1", Region: "a"},
+			}
+			own, first := 0, make(map[string]int)
+			addresses := make(map[string]bool)
+			for _, self := range all {
+				b := newTestBench(t, self.Name, self.Domain)
+				b.Self.PeerAddress = self.PeerAddress
+				assert.Assert(t, !b.Readers().Own, "a reader before the instances are known")
+				names := make(map[string]bool)
+				for _, i := range append(others, all...) {
+					b.handle(traffic.InstanceSeen{Instance: i})
+					names[i.Name] = true
+				}
+				b.handle(traffic.InstancesListed{Names: names})
+				readers := b.Readers()
+				if readers.Own {
+					own++
+					assert.Equal(t, len(readers.Addresses), 0)
+					continue
+				}
+				assert.Equal(t, len(readers.Addresses), c.readers)
+				if c.readers > 0 {
+					first[readers.Addresses[0]]++
+				}
+				for _, address := range readers.Addresses {
+					addresses[address] = true
+				}
+			}
+			assert.Equal(t, own, c.readers)
+			assert.Equal(t, len(addresses), c.readers)
+			for address, members := range first {
+				assert.Assert(t, members <= 3*instancesPerReader, "%s serves %d instances", address, members)
+			}
+		})
+	}
+}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -138,9 +138,9 @@
 	case traffic.InstanceSeen:
 		s.handleInstanceSeen(e.Instance)
 	case traffic.InstanceGone:
-		s.handleInstanceGone(e.Name)
+		s.handleInstanceGone(e.Name, e.Revision)
 	case traffic.InstancesListed:
-		s.handleInstancesListed(e.Names)
+		s.handleInstancesListed(e)
 	case traffic.StoreLost:
 		s.handleStoreLost(e)
 	case traffic.StoreRegained:
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -3,6 +3,7 @@
 // within its bound:
 //
 //	calm store:    pause, call                                        <= Drain, Apply, Evacuation
+//	lost reader:   its pause, wait, timeout, a relayed call, call     <= Drain, Apply, Evacuation
 //	deaf watch:    wait, timeout, retry delay, full read              <= Reconnect
 //	left server:   probe of the store, retry delay, record wait       <= Reconnect
 //	dead instance: lease, pause, call                                 <= Reconnect + removalSlack
@@ -33,6 +34,11 @@
 	retryDelayPercent    = 8
 	readTimeoutPercent   = 40
 	probeTimeoutPercent  = 18
+	readerPausePercent   = 15
+	readerWaitPercent    = 26
+	readerTimeoutPercent = 12
+	relayWaitPercent     = 14
+	relayTimeoutPercent  = 12
 	lookUpDrainPercent   = 52
 	exitMarginPercent    = 7
 )
@@ -84,6 +90,31 @@
 	return min(k.Bounds.Drain.Duration, k.Bounds.Apply.Duration, k.Bounds.Evacuation.Duration)
 }
 
+// ReaderPause is the pause of an instance that follows the store for others too.
+func (k *Timekeeper) ReaderPause() time.Duration {
+	return k.changeBound() * readerPausePercent / 100
+}
+
+// ReaderWait is how long a call of such an instance waits for changes.
+func (k *Timekeeper) ReaderWait() time.Duration {
+	return k.changeBound() * readerWaitPercent / 100
+}
+
+// ReaderTimeout is how much later than its wait such a call may respond.
+func (k *Timekeeper) ReaderTimeout() time.Duration {
+	return k.changeBound() * readerTimeoutPercent / 100
+}
+
+// RelayWait is how long a call to such an instance waits for changes.
+func (k *Timekeeper) RelayWait() time.Duration {
+	return k.changeBound() * relayWaitPercent / 100
+}
+
+// RelayTimeout is how much later than its wait such a call may respond.
+func (k *Timekeeper) RelayTimeout() time.Duration {
+	return k.changeBound() * relayTimeoutPercent / 100
+}
+
 // FollowWait is how long one call waits for changes.
 func (k *Timekeeper) FollowWait() time.Duration {
 	return k.ofReconnect(followWaitPercent)
--- a/internal/timekeeper/timekeeper_test.go
+++ b/internal/timekeeper/timekeeper_test.go
@@ -42,6 +42,8 @@
 		assert.Equal(t, len(k.Check()), 0, "%+v", b)
 		for _, bound := range []model.Duration{b.Drain, b.Apply, b.Evacuation} {
 			assert.Assert(t, k.Pause()+call < bound.Duration, "%+v", b)
+			lostReader := k.ReaderPause() + k.ReaderWait() + k.ReaderTimeout() + k.RelayWait() + k.RelayTimeout()
+			assert.Assert(t, lostReader+call < bound.Duration, "%+v", b)
 		}
 		longestRetryDelay := k.RetryDelay() * 3 / 2
 		assert.Assert(t, k.FollowWait()+k.FollowTimeout()+longestRetryDelay+call < b.Reconnect.Duration, "%+v", b)
--- a/internal/traffic/boundary.go
+++ b/internal/traffic/boundary.go
@@ -17,6 +17,8 @@
 // Changes is the result of reading or following the store.
 type Changes struct {
 	Events []Event
+	// Revisions holds the revision of each event. A full read has none.
+	Revisions []int64
 	// Revision is the revision from which to follow the store next.
 	Revision int64
 	// More is set if Events may hold only a part of the changes.
@@ -37,8 +39,9 @@
 	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
 	// Renew restarts the lease's time to live.
 	Renew(ctx context.Context, lease int64) error
-	// Announce writes an instance's record under a lease.
-	Announce(ctx context.Context, instance Instance, lease int64) error
+	// Announce writes an instance's record under a lease and returns the revision of the
+	// write.
+	Announce(ctx context.Context, instance Instance, lease int64) (revision int64, err error)
 	// Withdraw ends the lease and removes the records written under it.
 	Withdraw(ctx context.Context, lease int64) error
 }
--- a/internal/traffic/effect.go
+++ b/internal/traffic/effect.go
@@ -83,8 +83,8 @@
 func (LookUpResult) effect()      {}
 func (Record) effect()            {}
 
-// Reannounce writes this instance's record again, since it is missing from the
-// store.
-type Reannounce struct{}
+// Reannounce writes this instance's record again, since it was missing from the store
+// as of a revision, unless the newest write of the record is later.
+type Reannounce struct{ Revision int64 }
 
 func (Reannounce) effect() {}
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -67,10 +67,18 @@
 type InstanceSeen struct{ Instance Instance }
 
 // InstanceGone reports that an instance's record is no longer in the store.
-type InstanceGone struct{ Name string }
+type InstanceGone struct {
+	Name string
+	// Revision is the store revision of the removal.
+	Revision int64
+}
 
 // InstancesListed reports all instances that a full read of the store found.
-type InstancesListed struct{ Names map[string]bool }
+type InstancesListed struct {
+	Names map[string]bool
+	// Revision is the store revision of the list.
+	Revision int64
+}
 
 // StoreLost reports that the store has stopped responding.
 type StoreLost struct{ Err error }
--- a/internal/traffic/settings.go
+++ b/internal/traffic/settings.go
@@ -13,6 +13,9 @@
 	ReadyAddress   string `json:"ready_address"`
 	LookUpAddress  string `json:"look_up_address"`
 	MetricsAddress string `json:"metrics_address"`
+	// PeerAddress is the IP:port on which other instances call this one. If it is empty,
+	// this instance gets all changes from the store.
+	PeerAddress string `json:"peer_address"`
 	// StoreAddress is the IP:port of the platform's store.
 	StoreAddress string `json:"store_address"`
 	// Domains maps each failure domain to its region.
--- a/internal/traffic/upstream.go
+++ b/internal/traffic/upstream.go
@@ -40,6 +40,8 @@
 	Domain  string `json:"domain"`
 	Region  string `json:"region"`
 	Address string `json:"address"`
+	// PeerAddress is where other instances call this one, or empty if they cannot.
+	PeerAddress string `json:"peer_address,omitempty"`
 	// Leaving is set while the instance shuts down: it still serves its callers but
 	// accepts no new ones.
 	Leaving bool `json:"leaving"`
