Name every instance of a large region in look-ups

Cause: a look-up names at most 64 instances, and the region's were cut off there by name. Of 98 to 103 instances a third had no callers, whole failure domains by name.

Ruled out: turns by time (a caller's connections would move at each look-up); weights by processor and link (an instance uses 1 to 2 % of the smallest processor).

Change: where there are more, those of the caller's failure domain come first, and the others by their hash with that domain. Callers of one domain always use the same ones. Look-ups have their own file.

--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -1,22 +1,15 @@
 package steerer
 
 import (
-	"slices"
-	"strings"
 	"time"
 
-	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
-const (
-	// sizeRetention is how long the bounds are divided by the largest number of
-	// instances seen. Otherwise the shares of all instances could add up to more than
-	// the bounds while records of running instances are missing.
-	sizeRetention = 30 * time.Second
-	// maxAddresses is the largest number of addresses in a look-up's result.
-	maxAddresses = 64
-)
+// sizeRetention is how long the bounds are divided by the largest number of instances
+// seen. Otherwise the shares of all instances could add up to more than the bounds while
+// records of running instances are missing.
+const sizeRetention = 30 * time.Second
 
 // membership holds the known instances.
 type membership struct {
@@ -107,38 +100,3 @@
 		s.emit(traffic.Reannounce{Revision: e.Revision})
 	}
 }
-
-// handleLookUp returns the addresses of the available instances in the caller's
-// region, of all available instances if that region has none, or of this instance
-// if none is available at all.
-func (s *Steerer) handleLookUp(q traffic.Query) {
-	selected := s.availableInstances(func(i traffic.Instance) bool { return i.Region == q.Region })
-	if len(selected) == 0 {
-		selected = s.availableInstances(func(traffic.Instance) bool { return true })
-	}
-	if len(selected) == 0 {
-		selected = []traffic.Instance{s.Self}
-	}
-	slices.SortFunc(selected, func(a, b traffic.Instance) int { return strings.Compare(a.Name, b.Name) })
-	selected = selected[:min(len(selected), maxAddresses)]
-	times := timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
-	result := traffic.LookUpResult{Lifetime: times.LookUpLifetime()}
-	for _, i := range selected {
-		result.Addresses = append(result.Addresses, i.Address)
-	}
-	s.emit(result)
-}
-
-// availableInstances returns the instances that callers may use and that match.
-func (s *Steerer) availableInstances(matches func(traffic.Instance) bool) []traffic.Instance {
-	var found []traffic.Instance
-	for name, existing := range s.instances.records {
-		if name != s.Self.Name && !existing.Leaving && matches(existing.Instance) {
-			found = append(found, existing.Instance)
-		}
-	}
-	if s.Ready() && matches(s.Self) {
-		found = append(found, s.Self)
-	}
-	return found
-}
--- /dev/null
+++ b/internal/steerer/lookup.go
@@ -0,0 +1,63 @@
+package steerer
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/yuccathread/yuccathread/internal/timekeeper"
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+// maxAddresses is the largest number of addresses in a look-up's result.
+const maxAddresses = 64
+
+// handleLookUp returns the addresses of the available instances in the caller's
+// region, of all available instances if that region has none, or of this instance
+// if none is available at all.
+func (s *Steerer) handleLookUp(q traffic.Query) {
+	selected := s.availableInstances(func(i traffic.Instance) bool { return i.Region == q.Region })
+	if len(selected) == 0 {
+		selected = s.availableInstances(func(traffic.Instance) bool { return true })
+	}
+	if len(selected) == 0 {
+		selected = []traffic.Instance{s.Self}
+	}
+	selected = chooseAddresses(selected, q.Domain)
+	times := timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
+	result := traffic.LookUpResult{Lifetime: times.LookUpLifetime()}
+	for _, i := range selected {
+		result.Addresses = append(result.Addresses, i.Address)
+	}
+	s.emit(result)
+}
+
+// chooseAddresses returns at most maxAddresses instances, in the order of their names. If
+// there are more, it takes those of the caller's failure domain first, and others by
+// their hash with that domain, so that the callers of different domains use different
+// ones and each instance has its callers.
+func chooseAddresses(found []traffic.Instance, callerDomain string) []traffic.Instance {
+	if len(found) > maxAddresses {
+		sortByHash(found, callerDomain)
+		slices.SortStableFunc(found, func(a, b traffic.Instance) int {
+			return cmp.Compare(distance(a, callerDomain), distance(b, callerDomain))
+		})
+		found = found[:maxAddresses]
+	}
+	slices.SortFunc(found, func(a, b traffic.Instance) int { return strings.Compare(a.Name, b.Name) })
+	return found
+}
+
+// availableInstances returns the instances that callers may use and that match.
+func (s *Steerer) availableInstances(matches func(traffic.Instance) bool) []traffic.Instance {
+	var found []traffic.Instance
+	for name, existing := range s.instances.records {
+		if name != s.Self.Name && !existing.Leaving && matches(existing.Instance) {
+			found = append(found, existing.Instance)
+		}
+	}
+	if s.Ready() && matches(s.Self) {
+		found = append(found, s.Self)
+	}
+	return found
+}
--- a/internal/steerer/readers.go
+++ b/internal/steerer/readers.go
@@ -43,7 +43,7 @@
 	// The order spreads the other instances over the readers; near ones come first.
 	sortByHash(members, s.Self.Name)
 	slices.SortStableFunc(members, func(a, b traffic.Instance) int {
-		return cmp.Compare(s.distance(a), s.distance(b))
+		return cmp.Compare(distance(a, s.Self.Domain), distance(b, s.Self.Domain))
 	})
 	var readers traffic.Readers
 	for _, i := range members {
@@ -52,9 +52,9 @@
 	return readers
 }
 
-// distance is 0 for an instance in this one's failure domain and 1 for any other.
-func (s *Steerer) distance(i traffic.Instance) int {
-	if i.Domain == s.Self.Domain {
+// distance is 0 for an instance in a failure domain and 1 for any other.
+func distance(i traffic.Instance, domain string) int {
+	if i.Domain == domain {
 		return 0
 	}
 	return 1
