Say at a deadline whether the request may have run, when it is known

Cause: a call whose deadline passed was refused at once as possibly run (504), whatever its attempts had come to: also when its connection was still being opened, and when a server's whole error response was at hand. Callers must not repeat such a request although it never reached a server.

Ruled out: refusing such calls as not run at the deadline (whether the request was written is known only to the forwarder).

Change: at the deadline the attempts are cancelled, which ends them at once; the call ends with the last of them: a response that has just come is delivered, a request that was never sent is refused as not run with a time to come back, all others as before.

Tests: TestExpiredRequestTellsWhetherItMayHaveRun.

--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -59,6 +59,8 @@
 	// answered is set once the final response is determined or the caller has
 	// disconnected. Attempts may still be pending.
 	answered bool
+	// expired is set once the deadline has passed.
+	expired bool
 }
 
 // attempt is one try of a call at one server.
@@ -183,9 +185,14 @@
 // otherwise.
 func (s *Steerer) giveUp(c *call, reason traffic.Refusal, retryAfter time.Duration) {
 	delete(s.calls, c.number)
+	if c.expired {
+		reason = traffic.TooLate
+	}
 	switch {
 	case c.fallback != nil:
 		s.deliver(c, *c.fallback)
+	case c.mayHaveRun && c.expired:
+		s.refuse(c, traffic.TooLate, traffic.Unknown, 0)
 	case c.mayHaveRun:
 		s.refuse(c, traffic.Interrupted, traffic.Unknown, 0)
 	default:
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -64,6 +64,9 @@
 	}
 	s.updateLoad(u, o.Reply.Load)
 	s.roundTrip(u).Observe(o.Connected)
+	if c.expired && o.Fate != traffic.Ran {
+		return
+	}
 	if c.answered && o.Fate != traffic.Ran {
 		if u.ejector.HalfOpen(s.now) && s.now.Sub(a.sentAt) >= overdueAfter(a.expected) {
 			s.countFailure(u, 1, "another server answered first")
@@ -176,10 +179,11 @@
 	s.retry(c, true, traffic.Interrupted)
 }
 
-// handleExpired refuses a call whose deadline has passed.
+// handleExpired cancels the attempts of a call whose deadline has passed. The call is
+// refused when they have ended: only then is it known whether one of them may have run.
 func (s *Steerer) handleExpired(number uint64) {
 	c := s.calls[number]
-	if c == nil || c.answered {
+	if c == nil || c.answered || c.expired {
 		return
 	}
 	for _, a := range c.pending {
@@ -187,9 +191,10 @@
 			s.countFailure(a.server, silenceWeight(a), "no response before the request's deadline")
 		}
 	}
-	s.cancelAttempts(c)
-	c.mayHaveRun = true
-	s.refuse(c, traffic.TooLate, traffic.Unknown, 0)
+	c.expired = true
+	for _, a := range c.pending {
+		s.emit(traffic.Cancel{Call: c.number, Attempt: a.number})
+	}
 }
 
 // silenceWeight returns the number of failures that an attempt without a response
--- a/internal/steerer/retry.go
+++ b/internal/steerer/retry.go
@@ -49,7 +49,7 @@
 // server if allowRetry permits, and the first success is delivered.
 func (s *Steerer) handleOverdue(e traffic.Overdue) {
 	c := s.calls[e.Call]
-	if c == nil || c.answered {
+	if c == nil || c.answered || c.expired {
 		return
 	}
 	i := slices.IndexFunc(c.pending, func(a *attempt) bool { return a.number == e.Attempt })
@@ -75,6 +75,9 @@
 // allowRetry reports whether a call may be sent to another server. If the last
 // attempt reached its server, it also withdraws the retry from the budget.
 func (s *Steerer) allowRetry(c *call, received bool) bool {
+	if c.expired {
+		return false
+	}
 	if c.executions+len(c.pending) >= c.route.MaxAttempts || c.received >= maxReceived || c.attempts >= maxAttempts {
 		return false
 	}
--- a/internal/steerer/trial_test.go
+++ b/internal/steerer/trial_test.go
@@ -115,3 +115,38 @@
 		})
 	}
 }
+
+// A request whose server could not be reached until its deadline has not run, and says
+// so; one that may have been sent does not. A response that comes with the deadline is
+// delivered.
+func TestExpiredRequestTellsWhetherItMayHaveRun(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		outcome traffic.Outcome
+		fate    traffic.Fate
+	}{
+		{"never sent", traffic.Outcome{Fate: traffic.NotRun, Err: context.Canceled}, traffic.NotRun},
+		{"sent", traffic.Outcome{Fate: traffic.Unknown, Err: context.Canceled}, traffic.Unknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newReadyBench(t, server("s1", "a1"), server("s2", "a2"))
+			number, effects := b.request("/order/1", "7")
+			send := b.mustSend(effects)
+			effects = b.advance(2 * time.Second).handle(traffic.Expired{Call: number})
+			_, ok := findEffect[traffic.Cancel](effects)
+			assert.Assert(t, ok)
+			_, refused := findEffect[traffic.Refuse](effects)
+			assert.Assert(t, !refused, "refused before the outcome was known")
+			refusal := b.mustRefuse(b.endAttempt(send, c.outcome))
+			assert.Equal(t, refusal.Reason, traffic.TooLate)
+			assert.Equal(t, refusal.Fate, c.fate)
+			assert.Equal(t, b.InFlight(), 0)
+		})
+	}
+	b := newReadyBench(t, server("s1", "a1"))
+	number, effects := b.request("/order/1", "7")
+	send := b.mustSend(effects)
+	b.advance(2 * time.Second).handle(traffic.Expired{Call: number})
+	_, delivered := findEffect[traffic.Deliver](b.endAttempt(send, successOutcome()))
+	assert.Assert(t, delivered)
+}
