--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -15,7 +15,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -26,6 +25,7 @@
 	"github.com/yuccathread/yuccathread/internal/model"
 	"github.com/yuccathread/yuccathread/internal/runner"
 	"github.com/yuccathread/yuccathread/internal/settings"
+	"github.com/yuccathread/yuccathread/internal/versioner"
 )
 
 // Exit codes.
@@ -35,9 +35,6 @@
 	exitUsage   = 2
 )
 
-// Version is the program's version.
-const Version = "0.1.0"
-
 const (
 	healthcheckTimeout = 2 * time.Second
 	// memoryLimit is the soft memory limit of the Go runtime: the garbage
@@ -124,7 +121,7 @@
 func (c *command) run() int {
 	switch {
 	case c.version:
-		fmt.Fprintf(c.stdout, "yuccathread %s %s %s/%s\n", Version, runtime.Version(), runtime.GOOS, runtime.GOARCH)
+		fmt.Fprintln(c.stdout, versioner.Versioner{Program: "yuccathread"})
 		return exitOK
 	case c.demo:
 		fmt.Fprint(c.stdout, demoText)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/api"
+	"github.com/yuccathread/yuccathread/internal/versioner"
 )
 
 // Exit codes.
@@ -31,6 +32,7 @@
 const usage = `yuccactl sends requests to entry instances.
 
 Usage: yuccactl COMMAND [FLAGS]
+       yuccactl -version
 
 Commands for callers:
   look-up     which instances to use
@@ -102,6 +104,10 @@
 		fmt.Fprint(stdout, usage)
 		return exitOK
 	}
+	if name == "version" || name == "-version" || name == "--version" {
+		fmt.Fprintln(stdout, versioner.Versioner{Program: "yuccactl"})
+		return exitOK
+	}
 	for _, command := range subcommands() {
 		if command.name == name {
 			inv := &invocation{stdin: stdin, stdout: stdout, stderr: stderr, http: newHTTPClient()}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -289,7 +289,7 @@
 	droppedAt time.Time
 }
 
-func (s *deafStore) Follow(ctx context.Context, after int64, wait, stallTimeout time.Duration) (traffic.Changes, error) {
+func (s *deafStore) Follow(ctx context.Context, after int64, _, stallTimeout time.Duration) (traffic.Changes, error) {
 	if !time.Now().Before(s.droppedAt) && s.reads.Load() == 1 {
 		return traffic.Changes{}, traffic.ErrHistoryDropped
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -71,8 +71,13 @@
 // Serve answers the queries of other instances on a mux.
 func (r *Relayer) Serve(mux *http.ServeMux) error {
 	for _, event := range []traffic.Event{
-		traffic.PolicySeen{}, traffic.UpstreamSeen{}, traffic.UpstreamGone{}, traffic.EvacuationSeen{},
-		traffic.EvacuationGone{}, traffic.InstanceSeen{}, traffic.InstanceGone{},
+		traffic.PolicySeen{},
+		traffic.UpstreamSeen{},
+		traffic.UpstreamGone{},
+		traffic.EvacuationSeen{},
+		traffic.EvacuationGone{},
+		traffic.InstanceSeen{},
+		traffic.InstanceGone{},
 	} {
 		gob.Register(event)
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -342,8 +342,11 @@
 	sent := []traffic.Event{
 		policySeen(7),
 		traffic.UpstreamSeen{Upstream: traffic.Upstream{ID: "s1", Slots: 9, Cold: time.Second, Revision: 3}},
-		traffic.UpstreamGone{ID: "s2"}, traffic.EvacuationSeen{Domain: "a1"}, traffic.EvacuationGone{Domain: "a1"},
-		traffic.InstanceSeen{Instance: traffic.Instance{Name: "front-1", PeerAddress: "10.0.0.1:70"}}, traffic.InstanceGone{Name: "front-2"},
+		traffic.UpstreamGone{ID: "s2"},
+		traffic.EvacuationSeen{Domain: "a1"},
+		traffic.EvacuationGone{Domain: "a1"},
+		traffic.InstanceSeen{Instance: traffic.Instance{Name: "front-1", PeerAddress: "10.0.0.1:70"}},
+		traffic.InstanceGone{Name: "front-2"},
 	}
 	changes := traffic.Changes{Revision: int64(len(sent)), Events: sent}
 	for i := range sent {
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -64,15 +64,19 @@
 	}
 	s.updateLoad(u, o.Reply.Load)
 	s.roundTrip(u).Observe(o.Connected)
-	if c.expired && o.Fate != traffic.Ran {
-		return
-	}
-	if c.answered && o.Fate != traffic.Ran {
-		if u.ejector.HalfOpen(s.now) && s.now.Sub(a.sentAt) >= overdueAfter(a.expected) {
-			s.countFailure(u, 1, "another server answered first")
-		}
-		return
+	cancelled := c.answered || c.expired
+	switch {
+	case o.Fate == traffic.Ran || !cancelled:
+		s.observeEnd(c, a, o)
+	case c.answered && u.ejector.HalfOpen(s.now) && s.now.Sub(a.sentAt) >= overdueAfter(a.expected):
+		s.countFailure(u, 1, "another server answered first")
 	}
+}
+
+// observeEnd updates the statistics with the outcome of an attempt that was not
+// cancelled.
+func (s *Steerer) observeEnd(c *call, a *attempt, o traffic.Outcome) {
+	u := a.server
 	switch {
 	case o.Fate == traffic.Ran && o.Reply.Status < http.StatusInternalServerError:
 		u.ejector.Succeed()
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -207,7 +207,7 @@
 			findings = append(findings, model.Finding{Field: field, Message: "must be at least " + shortest.String()})
 		}
 	}
-	shortestChange := time.Duration(minPause * 100 / pausePercent)
+	const shortestChange = minPause * 100 / pausePercent
 	add(k.Bounds.Drain.Duration < shortestChange, "/bounds/drain", shortestChange)
 	add(k.Bounds.Apply.Duration < shortestChange, "/bounds/apply", shortestChange)
 	add(k.Bounds.Evacuation.Duration < shortestChange, "/bounds/evacuation", shortestChange)
