Ask at most two readers before the store

Cause, found while reading the change again: a region of 98 instances has six readers. If five of them are gone without a word, an instance asked one after the other, each for a whole timeout, and was later than the bound for changes.

Change: after two readers in vain an instance turns to the store; those two are left out for a while, so that the next call asks others.

Test: TestLostReaders with five and with all of six readers lost; both failed before.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -30,8 +30,13 @@
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
-// keptChanges is the number of changes that a reader keeps for the others.
-const keptChanges = 4096
+const (
+	// keptChanges is the number of changes that a reader keeps for the others.
+	keptChanges = 4096
+	// maxAsked is the number of readers that may be asked in vain before the store. Each
+	// of them may take a whole timeout.
+	maxAsked = 2
+)
 
 // Relayer is a traffic.Store that gets changes from other instances if it can. Set the
 // exported fields before the first call.
@@ -114,29 +119,43 @@
 		return r.followAsReader(ctx, after, wait, stallTimeout)
 	}
 	r.setUnavailable()
-	for _, address := range readers.Addresses {
+	if changes, ok := r.askReaders(readers.Addresses, after); ok {
+		r.Relayed.Inc(1)
+		r.setPause(0)
+		return changes, ctx.Err()
+	}
+	if ctx.Err() != nil {
+		return traffic.Changes{}, ctx.Err()
+	}
+	r.setPause(r.Times.Pause())
+	r.Direct.Inc(1)
+	return r.Store.Follow(ctx, after, wait, stallTimeout)
+}
+
+// askReaders asks readers in turn for the changes after a revision. ok is false if none
+// of those asked has them.
+func (r *Relayer) askReaders(addresses []string, after int64) (changes traffic.Changes, ok bool) {
+	asked := 0
+	for _, address := range addresses {
+		if asked == maxAsked {
+			return traffic.Changes{}, false
+		}
 		if r.suspected(address) {
 			continue
 		}
+		asked++
 		reply, err := r.Call(address, traffic.ChangesQuery{After: after, Wait: r.Times.RelayWait()})
-		if ctx.Err() != nil {
-			return traffic.Changes{}, ctx.Err()
-		}
-		if err == nil && reply.Available {
-			r.Relayed.Inc(1)
-			r.setPause(0)
-			return traffic.Changes{Events: reply.Events, Revision: max(after, reply.Revision)}, nil
-		}
-		if err == nil {
+		switch {
+		case err != nil:
+			// The record of a reader that has ended is gone after the time of a lease.
+			r.suspect(address, r.Times.Lease())
+		case !reply.Available:
 			r.suspect(address, r.Times.RelayWait())
-			continue
+		default:
+			return traffic.Changes{Events: reply.Events, Revision: max(after, reply.Revision)}, true
 		}
-		// The record of a reader that has ended is gone after the time of a lease.
-		r.suspect(address, r.Times.Lease())
 	}
-	r.setPause(r.Times.Pause())
-	r.Direct.Inc(1)
-	return r.Store.Follow(ctx, after, wait, stallTimeout)
+	return traffic.Changes{}, false
 }
 
 // followAsReader follows the store for the others too. Its calls are shorter than those
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -177,9 +177,9 @@
 	}
 }
 
-// start starts the instances of a region, of which the first two are readers. It
-// returns when ctx has ended.
-func (d *region) start(ctx context.Context, count int) {
+// start starts the instances of a region, of which the first ones are readers. They end
+// with ctx.
+func (d *region) start(ctx context.Context, count, readers int) {
 	for range count {
 		x := &instance{client: &client{history: d.history}}
 		x.client.reconnect()
@@ -189,10 +189,14 @@
 		x.relayer = &Relayer{
 			Store: x.client, Call: d.call, Times: d.times, Clock: clock.System(),
 			Readers: func() traffic.Readers {
-				if i < 2 {
+				if i < readers {
 					return traffic.Readers{Own: true}
 				}
-				return traffic.Readers{Addresses: []string{fmt.Sprint(i % 2), fmt.Sprint(1 - i%2)}}
+				var addresses []string
+				for n := range readers {
+					addresses = append(addresses, fmt.Sprint((i+n)%readers))
+				}
+				return traffic.Readers{Addresses: addresses}
 			},
 			Relayed: metrics.NewCounter(), Direct: metrics.NewCounter(),
 		}
@@ -239,7 +243,7 @@
 		ctx, end := startTest(t)
 		defer end()
 		d := &region{history: newHistory(), times: times()}
-		d.start(ctx, 32)
+		d.start(ctx, 32, 2)
 		for range 60 {
 			time.Sleep(time.Second)
 			d.history.change()
@@ -265,13 +269,16 @@
 func TestLostReaders(t *testing.T) {
 	for _, lost := range []struct {
 		name      string
+		readers   int
 		cut, dead []int
 	}{
-		{"one reader is cut off", []int{0}, nil},
-		{"both readers are cut off", []int{0, 1}, nil},
-		{"one reader dies", nil, []int{0}},
-		{"both readers die", nil, []int{0, 1}},
-		{"one is cut off, the other dies", []int{0}, []int{1}},
+		{"one reader is cut off", 2, []int{0}, nil},
+		{"both readers are cut off", 2, []int{0, 1}, nil},
+		{"one reader dies", 2, nil, []int{0}},
+		{"both readers die", 2, nil, []int{0, 1}},
+		{"one is cut off, the other dies", 2, []int{0}, []int{1}},
+		{"five of six readers die", 6, nil, []int{0, 1, 2, 3, 4}},
+		{"all of six readers die", 6, nil, []int{0, 1, 2, 3, 4, 5}},
 	} {
 		t.Run(lost.name, func(t *testing.T) {
 			for step := range 15 {
@@ -279,7 +286,7 @@
 					ctx, end := startTest(t)
 					defer end()
 					d := &region{history: newHistory(), times: times()}
-					d.start(ctx, 8)
+					d.start(ctx, 6+lost.readers, lost.readers)
 					time.Sleep(5 * time.Second)
 					d.history.change()
 					time.Sleep(time.Duration(step) * 100 * time.Millisecond)
@@ -292,8 +299,8 @@
 					d.history.change()
 					time.Sleep(d.times.Bounds.Apply.Duration)
 					synctest.Wait()
-					for i, x := range d.instances[2:] {
-						assert.Equal(t, x.applied, d.history.revision, "instance %d, step %d", i+2, step)
+					for i, x := range d.instances[lost.readers:] {
+						assert.Equal(t, x.applied, d.history.revision, "instance %d, step %d", i+lost.readers, step)
 					}
 				})
 			}
@@ -310,7 +317,7 @@
 			ctx, end := startTest(t)
 			defer end()
 			d := &region{history: newHistory(), times: times()}
-			d.start(ctx, 6)
+			d.start(ctx, 6, 2)
 			for range 200 {
 				time.Sleep(time.Duration(random.IntN(500)) * time.Millisecond)
 				x := d.instances[random.IntN(len(d.instances))]
