Take a request as not run if garbage came before its first byte

Cause, found while reading the change again: bytes that are no response, on an idle connection that a request has just taken, ended the exchange as unknown although nothing had been written, and the request could still be written afterwards.

Change: any failure of the reader ends the connection for requests that have not started.

Test: TestGarbageBeforeTheRequestIsSent; it failed before, since the outcome was unknown.

--- a/internal/forwarder/connection_test.go
+++ b/internal/forwarder/connection_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -46,3 +48,22 @@
 	time.Sleep(20 * time.Millisecond)
 	assert.Equal(t, s.requests.Load(), int64(1))
 }
+
+// Bytes that are no response may arrive on an idle connection just after a request has
+// taken it. The request has not run if none of its bytes was written, and is not written
+// any more.
+func TestGarbageBeforeTheRequestIsSent(t *testing.T) {
+	s := startServer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		respond(conn, r.Header.Get("X-Id"), "")
+		time.Sleep(20 * time.Millisecond)
+		fmt.Fprint(conn, "garbage\r\n\r\n")
+		return true
+	})
+	c := takeConnection(t, newForwarder(t), s)
+	x := &exchange{id: "2", method: "GET", done: make(chan result, 1), written: make(chan struct{})}
+	c.mutex.Lock()
+	c.current = x
+	c.mutex.Unlock()
+	assert.Assert(t, errors.Is((<-x.done).err, errNotSent))
+	assert.Assert(t, !c.start(x), "the request would still be written")
+}
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -44,13 +44,13 @@
 	}
 	reply, err := c.readReply(x)
 	if err != nil {
-		x.complete(result{err: err})
+		x.complete(result{err: c.abandon(x, err)})
 		return false
 	}
 	if reply == nil {
 		x.skipped++
 		if x.skipped > maxSkipped {
-			x.complete(result{err: errTooMuch})
+			x.complete(result{err: c.abandon(x, errTooMuch)})
 			return false
 		}
 		return true
