Sort and hash instances in one place; state the reason of a refusal once

Cause, found by reading the whole change: readers and look-ups each sorted by hash and then again by failure domain; the hash of a name with a seed stood in the cold limit and in that sort. A call that ends unknown had two branches that differed in the reason only.

The orders, hashes and outcomes are the same, and no test is touched.

Ruled out: one type for the simulations of session and steerer (they share a shape, not an event); moving collector's and limiter's bounds together (memory of all bodies, bytes of one connection).

--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -185,16 +185,17 @@
 // otherwise.
 func (s *Steerer) giveUp(c *call, reason traffic.Refusal, retryAfter time.Duration) {
 	delete(s.calls, c.number)
-	if c.expired {
+	switch {
+	case c.expired:
 		reason = traffic.TooLate
+	case c.mayHaveRun:
+		reason = traffic.Interrupted
 	}
 	switch {
 	case c.fallback != nil:
 		s.deliver(c, *c.fallback)
-	case c.mayHaveRun && c.expired:
-		s.refuse(c, traffic.TooLate, traffic.Unknown, 0)
 	case c.mayHaveRun:
-		s.refuse(c, traffic.Interrupted, traffic.Unknown, 0)
+		s.refuse(c, reason, traffic.Unknown, 0)
 	default:
 		remaining := c.deadline.Sub(s.now)
 		retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter, max(remaining/3, minRetryAfter))
--- a/internal/steerer/eligibility.go
+++ b/internal/steerer/eligibility.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // idempotentProbeWait is how long after the end of its ejection a half-open server
@@ -67,10 +65,10 @@
 // hashRank returns this instance's rank among all instances, ordered by the hash
 // of the server's and the instance's name.
 func (s *Steerer) hashRank(server string) int {
-	ownHash := xxhash.Sum64String(server + "\x00" + s.Self.Name)
+	ownHash := hashOf(server, s.Self.Name)
 	rank := 0
 	for name := range s.instances.records {
-		if name != s.Self.Name && xxhash.Sum64String(server+"\x00"+name) < ownHash {
+		if name != s.Self.Name && hashOf(server, name) < ownHash {
 			rank++
 		}
 	}
--- a/internal/steerer/lookup.go
+++ b/internal/steerer/lookup.go
@@ -1,7 +1,6 @@
 package steerer
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 
@@ -38,10 +37,7 @@
 // ones and each instance has its callers.
 func chooseAddresses(found []traffic.Instance, callerDomain string) []traffic.Instance {
 	if len(found) > maxAddresses {
-		sortByHash(found, callerDomain)
-		slices.SortStableFunc(found, func(a, b traffic.Instance) int {
-			return cmp.Compare(distance(a, callerDomain), distance(b, callerDomain))
-		})
+		sortNearFirst(found, callerDomain, callerDomain)
 		found = found[:maxAddresses]
 	}
 	slices.SortFunc(found, func(a, b traffic.Instance) int { return strings.Compare(a.Name, b.Name) })
--- a/internal/steerer/readers.go
+++ b/internal/steerer/readers.go
@@ -35,16 +35,15 @@
 	if len(members) < minRelayed {
 		return traffic.Readers{}
 	}
-	sortByHash(members, "")
+	slices.SortFunc(members, func(a, b traffic.Instance) int {
+		return cmp.Compare(hashOf("", a.Name), hashOf("", b.Name))
+	})
 	members = members[:max(minReaders, len(members)/instancesPerReader)]
 	if slices.ContainsFunc(members, func(i traffic.Instance) bool { return i.Name == s.Self.Name }) {
 		return traffic.Readers{Own: true}
 	}
 	// The order spreads the other instances over the readers; near ones come first.
-	sortByHash(members, s.Self.Name)
-	slices.SortStableFunc(members, func(a, b traffic.Instance) int {
-		return cmp.Compare(distance(a, s.Self.Domain), distance(b, s.Self.Domain))
-	})
+	sortNearFirst(members, s.Self.Domain, s.Self.Name)
 	var readers traffic.Readers
 	for _, i := range members {
 		readers.Addresses = append(readers.Addresses, i.PeerAddress)
@@ -52,6 +51,14 @@
 	return readers
 }
 
+// sortNearFirst sorts the instances of a failure domain before the others, and both by
+// the hashes of their names with a seed.
+func sortNearFirst(instances []traffic.Instance, domain, seed string) {
+	slices.SortFunc(instances, func(a, b traffic.Instance) int {
+		return cmp.Or(cmp.Compare(distance(a, domain), distance(b, domain)), cmp.Compare(hashOf(seed, a.Name), hashOf(seed, b.Name)))
+	})
+}
+
 // distance is 0 for an instance in a failure domain and 1 for any other.
 func distance(i traffic.Instance, domain string) int {
 	if i.Domain == domain {
@@ -60,9 +67,7 @@
 	return 1
 }
 
-// sortByHash sorts instances by the hashes of their names with a seed.
-func sortByHash(instances []traffic.Instance, seed string) {
-	slices.SortFunc(instances, func(a, b traffic.Instance) int {
-		return cmp.Compare(xxhash.Sum64String(seed+"\x00"+a.Name), xxhash.Sum64String(seed+"\x00"+b.Name))
-	})
+// hashOf returns the hash of an instance's name with a seed. All instances agree on it.
+func hashOf(seed, name string) uint64 {
+	return xxhash.Sum64String(seed + "\x00" + name)
 }
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -14,7 +14,7 @@
 // Usage:
 //
 //	k := timekeeper.Timekeeper{Bounds: settings.Bounds}
-//	f := &follower.Follower{Wait: k.FollowWait(), Timeout: k.FollowTimeout(), ...}
+//	changes, err := store.Follow(ctx, revision, k.FollowWait(), k.FollowWait()+k.FollowTimeout())
 //	findings := k.Check()   // bounds that are too short to be kept
 package timekeeper
 
