Log by how many a bound is divided, and how much of a cold server's rate is used

Hypotheses: (1) the bound is divided by the instances known so far, which are few after a restart of all; (2) the rank that deals out the rest of the division counts other instances than the divisor; (3) what was sent before a restart is forgotten; (4) the decisions keep the bound, and the requests arrive in a bunch. No log line told them apart.

Added: the line `bounds divided` with the number of known instances and the divisor, the line `sent to a cold server` with what was sent within the second and the share, and two gauges.

--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -55,6 +55,9 @@
 	l.carrier.View(func(s *steerer.Steerer) {
 		metrics.GetOrRegisterGauge("in_flight", l.registry).Update(int64(s.InFlight()))
 		metrics.GetOrRegisterGauge("configuration_version", l.registry).Update(s.Version())
+		instances, dividedBy := s.Division()
+		metrics.GetOrRegisterGauge("instances_known", l.registry).Update(int64(instances))
+		metrics.GetOrRegisterGauge("bounds_divided_by", l.registry).Update(int64(dividedBy))
 	})
 }
 
--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -37,3 +37,9 @@
 	p.taken = p.taken[expired:]
 	return len(p.taken) < limit
 }
+
+// Taken returns the number of events in the window that ended at the last call of Take
+// or CanTake.
+func (p *Pacer) Taken() int {
+	return len(p.taken)
+}
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -137,6 +137,7 @@
 	c.triedServers = append(c.triedServers, u.ID)
 	if s.isCold(u) {
 		u.pacer.Take(s.now, s.coldLimit(u))
+		s.recordColdSend(c, u)
 	}
 	u.inFlight++
 	u.objects.add(objectKey(c), s.now)
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -17,6 +17,8 @@
 	// largest is the largest number of instances seen lately, at largestAt.
 	largest   int
 	largestAt time.Time
+	// recorded and recordedSize are the numbers in the newest log line about them.
+	recorded, recordedSize int
 }
 
 type member struct {
@@ -52,6 +54,22 @@
 	return max(m.largest, len(m.records), 1)
 }
 
+// recordSize logs by how many instances bounds are divided, if that has changed.
+func (s *Steerer) recordSize() {
+	m := &s.instances
+	if len(m.records) == m.recorded && m.size() == m.recordedSize {
+		return
+	}
+	m.recorded, m.recordedSize = len(m.records), m.size()
+	s.recordStateChange("bounds divided", attr("instances", m.recorded), attr("divided_by", m.recordedSize))
+}
+
+// Division returns the number of known instances and the number by which bounds are
+// divided.
+func (s *Steerer) Division() (instances, dividedBy int) {
+	return len(s.instances.records), s.instances.size()
+}
+
 func (s *Steerer) handleInstanceSeen(i traffic.Instance) {
 	existing := s.instances.records[i.Name]
 	if existing == nil || existing.Incarnation != i.Incarnation || existing.Leaving != i.Leaving {
--- a/internal/steerer/record.go
+++ b/internal/steerer/record.go
@@ -79,6 +79,21 @@
 	})
 }
 
+// recordColdSend logs a request to a cold server: how many this instance has sent it
+// within a second, its share of the bound, and by how many the bound is divided.
+func (s *Steerer) recordColdSend(c *call, u *upstream) {
+	instances, dividedBy := s.Division()
+	s.emit(traffic.Record{
+		Level:    slog.LevelInfo,
+		Message:  "sent to a cold server",
+		Frequent: true,
+		Attributes: []slog.Attr{
+			attr("request", c.request.ID), attr("call", c.number), attr("server", u.ID), attr("sent", u.pacer.Taken()),
+			attr("share", s.coldLimit(u)), attr("instances", instances), attr("divided_by", dividedBy),
+		},
+	})
+}
+
 // recordHedge logs a second attempt that is started while the first is overdue.
 func (s *Steerer) recordHedge(c *call, a *attempt, choice choice) {
 	s.emit(traffic.Record{
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -153,6 +153,7 @@
 	s.removeMissingUpstreams()
 	s.removeMissingInstances()
 	s.instances.expireLargest(s.now)
+	s.recordSize()
 }
 
 // Ready reports whether callers may use this instance: the policy, the servers and
