Give an instance its shares only after all others have learnt of it

Cause: a bound was divided by the instances known so far. A starting instance was ready once it had read the list of instances, but that list lacks those whose records are not written yet; the next look comes after the pause between changes (1.4 s). With 4 of 10 known each took 8 of 33. Class: a bound divided among a membership that is not known to be complete.

Ruled out: late arrival in a bunch (the decisions alone add up to 49) and sends before the restart (all had been without power for 5 s).

Change: an instance has a share only if the store holds its own record, it has read that record itself (so it knows all older ones), the time has passed in which every other instance learns of a change (so all newer ones know of it), and the lease of the record has not ended (a paused or cut off process stops by its own clock). The registrar tells the reducer of each write and renewal. Until then cold servers get nothing from it; others are served as before.

TestRestartOfAllInstancesDoesNotFloodAColdServer failed before: 2 instances, seed 1, 66 requests in a second for a bound of 33; now kept for 1 to 71 instances, 5 seeds. Its liveness check (half the bound in a second after the start) holds too.

Tests that set up a running fleet now join it first.

--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -136,6 +136,7 @@
 		Record:     l.record,
 		Reannounce: l.registrar.Reannounce,
 	}
+	l.registrar.Kept = func(e traffic.RecordKept) { l.carrier.Handle(e) }
 	peers := gossiper.Gossiper{Timeout: l.times.RelayWait() + l.times.RelayTimeout()}
 	l.relayer = &relayer.Relayer{
 		Store:   l.Store,
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -27,12 +27,17 @@
 	Logger   *slog.Logger
 	// Times gives the lease and the intervals and timeouts of the calls about it.
 	Times timekeeper.Timekeeper
+	// Kept is called after each write of the record and each renewal of its lease; it may
+	// be nil.
+	Kept func(traffic.RecordKept)
 
-	once   sync.Once
-	wake   chan struct{}
-	mutex  sync.Mutex
-	lease  int64
-	failed bool
+	once  sync.Once
+	wake  chan struct{}
+	mutex sync.Mutex
+	lease int64
+	// leaseUntil is how long the lease lasts at least.
+	leaseUntil time.Time
+	failed     bool
 	// version counts the changes of Instance.
 	version int
 	// writtenAt is the revision of the newest write of the record under the current
@@ -126,8 +131,14 @@
 	r.mutex.Lock()
 	lease, written, instance, version := r.lease, r.written(), r.Instance, r.version
 	r.mutex.Unlock()
+	// The store counts the time of a lease from the arrival of the call.
+	until := time.Now().Add(r.Times.Lease())
 	if lease != 0 && written {
-		return r.endIfGone(r.Store.Renew(ctx, lease))
+		err := r.Store.Renew(ctx, lease)
+		if err == nil {
+			r.kept(until)
+		}
+		return r.endIfGone(err)
 	}
 	if lease == 0 {
 		granted, err := r.Store.Grant(ctx, r.Times.Lease())
@@ -135,6 +146,7 @@
 			return err
 		}
 		lease = granted
+		r.leaseUntil = until
 	}
 	revision, err := r.Store.Announce(ctx, instance, lease)
 	r.mutex.Lock()
@@ -143,9 +155,20 @@
 		r.writtenAt, r.writtenVersion = revision, version
 	}
 	r.mutex.Unlock()
+	if err == nil {
+		r.kept(r.leaseUntil)
+	}
 	return r.endIfGone(err)
 }
 
+// kept reports that the store holds the record under a lease that lasts until a time.
+func (r *Registrar) kept(until time.Time) {
+	r.leaseUntil = until
+	if r.Kept != nil {
+		r.Kept(traffic.RecordKept{Revision: r.writtenAt, Lasts: time.Until(until)})
+	}
+}
+
 // endIfGone forgets the lease if an error says that it has ended.
 func (r *Registrar) endIfGone(err error) error {
 	if errors.Is(err, traffic.ErrLeaseEnded) {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -143,6 +143,38 @@
 	})
 }
 
+// Kept says how long the lease lasts at least, and the revision of the newest write.
+func TestKeptRecordIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &fakeStore{}
+		var kept []traffic.RecordKept
+		r := &Registrar{
+			Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler), Times: times,
+			Kept: func(e traffic.RecordKept) { kept = append(kept, e) },
+		}
+		go r.Run(ctx)
+		synctest.Wait()
+		assert.DeepEqual(t, kept, []traffic.RecordKept{{Revision: 1, Lasts: times.Lease()}})
+		time.Sleep(times.RenewInterval())
+		synctest.Wait()
+		assert.DeepEqual(t, kept[1:], []traffic.RecordKept{{Revision: 1, Lasts: times.Lease()}})
+
+		time.Sleep(times.RenewInterval() / 2)
+		r.Reannounce(store.removeRecord())
+		synctest.Wait()
+		// The write does not renew the lease.
+		assert.DeepEqual(t, kept[2:], []traffic.RecordKept{{Revision: 3, Lasts: times.Lease() - times.RenewInterval()/2}})
+
+		store.endLease()
+		time.Sleep(times.Lease())
+		synctest.Wait()
+		assert.Equal(t, kept[len(kept)-1].Revision, int64(4))
+		cancel()
+		synctest.Wait()
+	})
+}
+
 func TestStoreUnavailableAtTheStart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/steerer/belief_test.go
+++ b/internal/steerer/belief_test.go
@@ -104,7 +104,7 @@
 			for i := range instances {
 				b := newTestBench(t, fmt.Sprintf("front-%d", i), "a1")
 				cold := server("s1", "a1")
-				cold.Cold = 3 * time.Second
+				cold.Cold = 5 * time.Second
 				b.handle(traffic.PolicySeen{Policy: policy(1)})
 				b.handle(traffic.UpstreamSeen{Upstream: cold})
 				b.handle(traffic.UpstreamsListed{IDs: map[string]bool{"s1": true}})
@@ -115,6 +115,7 @@
 					b.handle(traffic.InstanceSeen{Instance: traffic.Instance{Name: name}})
 				}
 				b.handle(traffic.InstancesListed{Names: names})
+				b.join()
 				for k := range 50 {
 					_, effects := b.advance(10*time.Millisecond).request("/look/1", fmt.Sprint(k))
 					if send, ok := findEffect[traffic.Send](effects); ok {
--- a/internal/steerer/eligibility.go
+++ b/internal/steerer/eligibility.go
@@ -51,6 +51,9 @@
 // the server and the instance names, so that the shares add up to the bound
 // without coordination.
 func (s *Steerer) coldLimit(u *upstream) int {
+	if !s.hasShares() {
+		return 0
+	}
 	svc := s.policy.Services[u.Service]
 	bounds := s.Settings.Bounds
 	total := int(svc.ColdRate*bounds.ColdFactor + bounds.ColdSlack)
--- a/internal/steerer/fleet_test.go
+++ b/internal/steerer/fleet_test.go
@@ -131,7 +131,10 @@
 			f.deliver(b, traffic.InstanceSeen{Instance: other.Self})
 		}
 		f.deliver(b, traffic.InstancesListed{Names: names})
+		b.join()
+		f.started = b.now
 	}
+	f.now = f.started
 	return f
 }
 
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -17,6 +18,11 @@
 	// largest is the largest number of instances seen lately, at largestAt.
 	largest   int
 	largestAt time.Time
+	// ownRevision is that of the newest write of the own record, or zero while the store
+	// holds none. From joinedAt on every other instance knows of it, and until keptUntil
+	// its lease lasts at least.
+	ownRevision         int64
+	joinedAt, keptUntil time.Time
 	// recorded and recordedSize are the numbers in the newest log line about them.
 	recorded, recordedSize int
 }
@@ -61,7 +67,8 @@
 		return
 	}
 	m.recorded, m.recordedSize = len(m.records), m.size()
-	s.recordStateChange("bounds divided", attr("instances", m.recorded), attr("divided_by", m.recordedSize))
+	s.recordStateChange("bounds divided", attr("instances", m.recorded), attr("divided_by", m.recordedSize),
+		attr("has_shares", s.hasShares()))
 }
 
 // Division returns the number of known instances and the number by which bounds are
@@ -84,8 +91,8 @@
 	if existing == nil || existing.missing {
 		return
 	}
-	if name == s.Self.Name && s.stoppingSince.IsZero() {
-		s.emit(traffic.Reannounce{Revision: revision})
+	if name == s.Self.Name {
+		s.handleOwnRecordGone(revision)
 		return
 	}
 	existing.missing = true
@@ -114,7 +121,39 @@
 			s.handleInstanceGone(name, e.Revision)
 		}
 	}
-	if !e.Names[s.Self.Name] && s.stoppingSince.IsZero() {
-		s.emit(traffic.Reannounce{Revision: e.Revision})
+	if !e.Names[s.Self.Name] {
+		s.handleOwnRecordGone(e.Revision)
 	}
 }
+
+// handleRecordKept handles a write of the own record or the renewal of its lease.
+func (s *Steerer) handleRecordKept(e traffic.RecordKept) {
+	m := &s.instances
+	if m.ownRevision == 0 {
+		times := timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
+		m.joinedAt = s.now.Add(times.JoinDelay())
+	}
+	m.ownRevision = max(m.ownRevision, e.Revision)
+	m.keptUntil = s.now.Add(e.Lasts)
+}
+
+// handleOwnRecordGone handles the absence of the own record as of a revision. Others may
+// divide bounds without this instance until the record is written again.
+func (s *Steerer) handleOwnRecordGone(revision int64) {
+	if revision >= s.instances.ownRevision {
+		s.instances.ownRevision = 0
+	}
+	if s.stoppingSince.IsZero() {
+		s.emit(traffic.Reannounce{Revision: revision})
+	}
+}
+
+// hasShares reports whether this instance may use its shares of bounds that all instances
+// keep together: it knows all instances whose records are older than its own, and all of
+// them know of it.
+func (s *Steerer) hasShares() bool {
+	m := &s.instances
+	own := m.records[s.Self.Name]
+	listed := own != nil && own.Incarnation == s.Self.Incarnation
+	return listed && m.ownRevision > 0 && !s.now.Before(m.joinedAt) && s.now.Before(m.keptUntil)
+}
--- /dev/null
+++ b/internal/steerer/restart_test.go
@@ -0,0 +1,183 @@
+package steerer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yuccathread/yuccathread/internal/timekeeper"
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+// restartedFleet is a fleet whose instances learn of each other from a store. It has one
+// cold server, and every instance has more requests for it than it may send.
+type restartedFleet struct {
+	t      *testing.T
+	random *rand.Rand
+	epoch  time.Time
+	times  timekeeper.Timekeeper
+	// records are the instances' records, in the order in which they were written.
+	records   []storedInstance
+	instances []*restartedInstance
+	// sent holds the times of all requests to the cold server.
+	sent []time.Duration
+}
+
+type storedInstance struct {
+	traffic.Instance
+	writtenAt time.Duration
+	revision  int64
+}
+
+type restartedInstance struct {
+	*testBench
+	readAt    time.Duration
+	writtenAt time.Duration
+	// nextCall is when the instance follows the store next, and revision up to which it
+	// knows the store.
+	nextCall time.Duration
+	revision int64
+	read     bool
+}
+
+func newRestartedFleet(t *testing.T, seed uint64) *restartedFleet {
+	t.Helper()
+	f := &restartedFleet{t: t, random: rand.New(rand.NewPCG(seed, 1)), epoch: time.Unix(1_800_000_000, 0)}
+	bounds := restartSettings().Bounds
+	f.times = timekeeper.Timekeeper{Bounds: bounds}
+	return f
+}
+
+func restartSettings() traffic.Settings {
+	s := settings()
+	s.Bounds.Drain.Duration = 2500 * time.Millisecond
+	s.Bounds.Apply.Duration = 2500 * time.Millisecond
+	s.Bounds.Evacuation.Duration = 5 * time.Second
+	return s
+}
+
+// upTo returns a random time below a limit.
+func (f *restartedFleet) upTo(limit time.Duration) time.Duration {
+	return time.Duration(f.random.Int64N(int64(limit)))
+}
+
+// start adds an instance that starts at a time. It reads the store soon after, and its
+// own record is written later: before the read or after it.
+func (f *restartedFleet) start(name string, at time.Duration) {
+	b := newTestBench(f.t, name, "a1")
+	b.Settings = restartSettings()
+	r := &restartedInstance{
+		testBench: b,
+		readAt:    at + 10*time.Millisecond + f.upTo(350*time.Millisecond),
+		writtenAt: at + 10*time.Millisecond + f.upTo(350*time.Millisecond),
+	}
+	f.instances = append(f.instances, r)
+	f.records = append(f.records, storedInstance{Instance: b.Self, writtenAt: r.writtenAt})
+}
+
+// run plays the fleet's first seconds in steps of a millisecond.
+func (f *restartedFleet) run(length time.Duration) {
+	slices.SortFunc(f.records, func(a, b storedInstance) int { return int(a.writtenAt - b.writtenAt) })
+	for i := range f.records {
+		f.records[i].revision = int64(i + 1)
+	}
+	for at := time.Duration(0); at < length; at += time.Millisecond {
+		for _, r := range f.instances {
+			f.step(r, at)
+		}
+	}
+}
+
+func (f *restartedFleet) step(r *restartedInstance, at time.Duration) {
+	r.now = f.epoch.Add(at)
+	if at == r.writtenAt.Truncate(time.Millisecond) {
+		i := slices.IndexFunc(f.records, func(s storedInstance) bool { return s.Instance == r.Self })
+		r.handle(traffic.RecordKept{Revision: f.records[i].revision, Lasts: time.Hour})
+	}
+	switch {
+	case at < r.readAt:
+		return
+	case !r.read:
+		f.read(r, at)
+	case at >= r.nextCall:
+		if f.deliverRecords(r, at) {
+			r.nextCall = at + f.times.Pause() + 5*time.Millisecond
+		}
+	}
+	if at%(10*time.Millisecond) != 0 {
+		return
+	}
+	_, effects := r.request("/look/1", fmt.Sprint(at))
+	if send, ok := findEffect[traffic.Send](effects); ok {
+		f.sent = append(f.sent, at)
+		r.endAttempt(send, successOutcome())
+	}
+}
+
+// read makes the first full read of the store.
+func (f *restartedFleet) read(r *restartedInstance, at time.Duration) {
+	r.read = true
+	cold := server("s1", "a1")
+	cold.Cold = time.Hour
+	p := policy(1)
+	p.Services["stock"] = traffic.Service{Name: "stock", MaxConnections: 300, ColdPeriod: time.Hour, ColdRate: 19}
+	r.handle(traffic.PolicySeen{Policy: p})
+	r.handle(traffic.UpstreamSeen{Upstream: cold})
+	r.handle(traffic.UpstreamsListed{IDs: map[string]bool{"s1": true}})
+	f.deliverRecords(r, at)
+	names := make(map[string]bool)
+	for _, record := range f.records {
+		if record.writtenAt <= at {
+			names[record.Name] = true
+		}
+	}
+	r.handle(traffic.InstancesListed{Names: names, Revision: r.revision})
+	r.handle(traffic.ServingStarted{})
+}
+
+// deliverRecords passes on the records that were written since the last call.
+func (f *restartedFleet) deliverRecords(r *restartedInstance, at time.Duration) (found bool) {
+	for _, record := range f.records {
+		if record.writtenAt <= at && record.revision > r.revision {
+			r.handle(traffic.InstanceSeen{Instance: record.Instance})
+			r.revision = record.revision
+			found = true
+		}
+	}
+	return found
+}
+
+// mostInASecond returns the largest number of requests in any second.
+func (f *restartedFleet) mostInASecond() int {
+	most := 0
+	for first, last := 0, 0; last < len(f.sent); last++ {
+		for f.sent[last]-f.sent[first] >= time.Second {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// All instances restart while a server is cold, and each knows only the instances whose
+// records were written before its own read. Until all know all, their shares must not add
+// up to more than the server's bound.
+func TestRestartOfAllInstancesDoesNotFloodAColdServer(t *testing.T) {
+	for _, instances := range []int{1, 2, 4, 10, 30, 71} {
+		for seed := range uint64(5) {
+			f := newRestartedFleet(t, seed)
+			for i := range instances {
+				f.start(fmt.Sprintf("front-%d", i), f.upTo(300*time.Millisecond))
+			}
+			f.run(6 * time.Second)
+			const bound = 33 // ColdRate * ColdFactor + ColdSlack
+			most := f.mostInASecond()
+			assert.Assert(t, most <= bound, "%d instances, seed %d: %d requests in a second", instances, seed, most)
+			assert.Assert(t, most >= bound/2, "%d instances, seed %d: only %d requests in a second", instances, seed, most)
+		}
+	}
+}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -141,6 +141,8 @@
 		s.handleInstanceGone(e.Name, e.Revision)
 	case traffic.InstancesListed:
 		s.handleInstancesListed(e)
+	case traffic.RecordKept:
+		s.handleRecordKept(e)
 	case traffic.StoreLost:
 		s.handleStoreLost(e)
 	case traffic.StoreRegained:
--- a/internal/steerer/world_test.go
+++ b/internal/steerer/world_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/yuccathread/yuccathread/internal/model"
+	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -66,6 +67,14 @@
 	return b
 }
 
+// join lets the other instances learn of this one, so that it has its shares of bounds.
+func (b *testBench) join() {
+	b.t.Helper()
+	times := timekeeper.Timekeeper{Bounds: b.Settings.Bounds}
+	b.handle(traffic.RecordKept{Revision: 1, Lasts: time.Hour})
+	b.advance(times.JoinDelay())
+}
+
 func server(id, domain string) traffic.Upstream {
 	return traffic.Upstream{ID: id, Service: "stock", Address: "10.0.0.1:80", Domain: domain, Slots: 4, Revision: 1}
 }
@@ -86,6 +95,7 @@
 	b.handle(traffic.InstancesListed{Names: map[string]bool{b.Self.Name: true}})
 	b.handle(traffic.EvacuationsListed{})
 	b.handle(traffic.ServingStarted{})
+	b.join()
 	return b
 }
 
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -6,6 +6,7 @@
 //	lost reader:   its pause, wait, timeout, a relayed call, call     <= Drain, Apply, Evacuation
 //	deaf watch:    wait, timeout, retry delay, full read              <= Reconnect
 //	left server:   probe of the store, retry delay, record wait       <= Reconnect
+//	new instance:  pause, call                                        <= JoinDelay
 //	dead instance: lease, pause, call                                 <= Reconnect + removalSlack
 //	stop:          look-up drain, requests in progress, exit margin   <= Grace
 //
@@ -55,6 +56,8 @@
 	// call and the timeout of a call.
 	retriesPerLease = 12
 	callsPerLease   = 4
+	// shareWindow is the span within which the events of a shared bound are counted.
+	shareWindow = time.Second
 	// maxLookUpLifetime is short, so that callers soon stop using an instance that
 	// stops.
 	maxLookUpLifetime = time.Second
@@ -174,6 +177,14 @@
 	return k.Lease() / callsPerLease
 }
 
+// JoinDelay is how long after the write of its record an instance waits before it uses a
+// share of a bound that all instances keep together. By then all others know of it and
+// have lowered their own shares, and what an earlier process of the same name has sent
+// counts no longer.
+func (k *Timekeeper) JoinDelay() time.Duration {
+	return max(k.changeBound(), shareWindow)
+}
+
 // LookUpLifetime is how long a caller may cache the result of a look-up.
 func (k *Timekeeper) LookUpLifetime() time.Duration {
 	lifetime := min(maxLookUpLifetime, (k.lookUpDrainLimit()-cacheMargin)/cacheFactor)
--- a/internal/timekeeper/timekeeper_test.go
+++ b/internal/timekeeper/timekeeper_test.go
@@ -44,6 +44,8 @@
 			assert.Assert(t, k.Pause()+call < bound.Duration, "%+v", b)
 			lostReader := k.ReaderPause() + k.ReaderWait() + k.ReaderTimeout() + k.RelayWait() + k.RelayTimeout()
 			assert.Assert(t, lostReader+call < bound.Duration, "%+v", b)
+			assert.Assert(t, k.Pause()+call < k.JoinDelay() && lostReader+call < k.JoinDelay(), "%+v", b)
+			assert.Assert(t, k.JoinDelay() >= shareWindow)
 		}
 		longestRetryDelay := k.RetryDelay() * 3 / 2
 		assert.Assert(t, k.FollowWait()+k.FollowTimeout()+longestRetryDelay+call < b.Reconnect.Duration, "%+v", b)
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -80,6 +80,14 @@
 	Revision int64
 }
 
+// RecordKept reports that this instance's own record is in the store.
+type RecordKept struct {
+	// Revision is the store revision of the newest write of the record.
+	Revision int64
+	// Lasts is how much longer the lease of the record lasts at least.
+	Lasts time.Duration
+}
+
 // StoreLost reports that the store has stopped responding.
 type StoreLost struct{ Err error }
 
@@ -118,6 +126,7 @@
 func (InstanceSeen) event()      {}
 func (InstanceGone) event()      {}
 func (InstancesListed) event()   {}
+func (RecordKept) event()        {}
 func (StoreLost) event()         {}
 func (StoreRegained) event()     {}
 func (SettingsReloaded) event()  {}
