Start with an empty retry budget

The same class as the flood of cold servers, found by looking for it elsewhere: the burst of the retry budget is divided by the instances known so far, and each process began with all of it. Ten instances that restart one after the other, or all at once, each with a list that lacks the others, would have sent 580 retries of 800 requests where 210 are allowed (TestRestartOfAllInstancesKeepsTheRetryBudget, failed before; with the old start in place of the new one alone it fails again).

Change: a process earns its retries from requests (0.2 each); the share of the slack is only what it may save up. The reserve of a fifth, which was for restarts, stays for retries that are held up. Tests of running instances earn a budget first.

Ruled out: waiting for shares as with cold servers, since no retry at all for 2.5 s would cost callers more than earning them.

--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -98,7 +98,7 @@
 	c.tried = make(map[string]bool)
 	c.service = c.route.Shares[max(c.route.splitter.Next(c.route.weights), 0)].Service
 	s.calls[c.number] = c
-	s.service(c.service).budget.Deposit()
+	s.retryBudget(c.service).Deposit()
 	s.emit(traffic.Admit{Call: c.number, Until: c.deadline})
 	s.dispatch(c)
 }
--- a/internal/steerer/restart_test.go
+++ b/internal/steerer/restart_test.go
@@ -181,3 +181,39 @@
 		}
 	}
 }
+
+// The instances of a fleet restart one after the other, each with a view that lacks the
+// others, while all servers reject requests. The retries before and after must add up to
+// no more than the budget that all instances share.
+func TestRestartOfAllInstancesKeepsTheRetryBudget(t *testing.T) {
+	const instances, requestsEach = 10, 40
+	requests, retries := 0, 0
+	overload := func(b *testBench) {
+		for i := range requestsEach {
+			requests++
+			_, effects := b.advance(25*time.Millisecond).request("/look/1", fmt.Sprint(i))
+			for send, ok := findEffect[traffic.Send](effects); ok; send, ok = findEffect[traffic.Send](effects) {
+				if send.Attempt > 1 {
+					retries++
+				}
+				effects = b.endAttempt(send, rejectedOutcome())
+			}
+		}
+	}
+	var servers []traffic.Upstream
+	for i := range 20 {
+		servers = append(servers, server(fmt.Sprintf("s%d", i), "a1"))
+	}
+	for range instances {
+		running := newReadyBench(t, servers...)
+		for i := range instances - 1 {
+			running.handle(traffic.InstanceSeen{Instance: traffic.Instance{Name: fmt.Sprintf("other-%d", i), Region: "a"}})
+		}
+		overload(running)
+		overload(newStartedBench(t, servers...))
+	}
+	bounds := settings().Bounds
+	budget := int(bounds.RetryRatio*float64(requests) + bounds.RetrySlack)
+	assert.Assert(t, retries <= budget, "%d retries of %d requests, at most %d allowed", retries, requests, budget)
+	assert.Assert(t, retries > requests/10, "only %d retries", retries)
+}
--- a/internal/steerer/retry.go
+++ b/internal/steerer/retry.go
@@ -4,13 +4,13 @@
 	"slices"
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/budgeter"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
 const (
-	// budgetFraction is the fraction of the shared retry slack that running
-	// instances use. The rest is for restarted instances, which start with a full
-	// burst.
+	// budgetFraction is the fraction of the shared retry slack that instances use. The
+	// rest is for retries that are held up and arrive within a later window.
 	budgetFraction = 0.8
 	// maxReceived bounds the attempts of one call that reach a server, and with them
 	// the load that one call puts on the servers.
@@ -87,8 +87,16 @@
 	if !received {
 		return true
 	}
-	b := &s.service(c.service).budget
+	return s.retryBudget(c.service).Withdraw()
+}
+
+// retryBudget returns this instance's retry budget for a service, with its present share
+// of the burst. It starts empty: the process that this one follows may have spent its
+// share within the same window, and other instances may not know of this one yet.
+func (s *Steerer) retryBudget(service string) *budgeter.Budgeter {
+	b := &s.service(service).budget
+	b.StartsEmpty = true
 	b.Fraction = s.Settings.Bounds.RetryRatio
 	b.Burst = int(s.Settings.Bounds.RetrySlack * budgetFraction / float64(s.instances.size()))
-	return b.Withdraw()
+	return b
 }
--- a/internal/steerer/world_test.go
+++ b/internal/steerer/world_test.go
@@ -79,9 +79,21 @@
 	return traffic.Upstream{ID: id, Service: "stock", Address: "10.0.0.1:80", Domain: domain, Slots: 4, Revision: 1}
 }
 
-// newReadyBench returns a bench whose Steerer has a policy, the given servers
-// and its own instance record, and is ready for callers.
+// newReadyBench returns a bench whose Steerer has joined the other instances and has
+// served enough requests to have earned its retry budget.
 func newReadyBench(t *testing.T, servers ...traffic.Upstream) *testBench {
+	t.Helper()
+	b := newStartedBench(t, servers...)
+	b.join()
+	for range 1000 {
+		b.retryBudget("stock").Deposit()
+	}
+	return b
+}
+
+// newStartedBench returns a bench whose Steerer has a policy, the given servers and its
+// own instance record, and is ready for callers.
+func newStartedBench(t *testing.T, servers ...traffic.Upstream) *testBench {
 	t.Helper()
 	b := newTestBench(t, "front-1", "a1")
 	b.handle(traffic.PolicySeen{Policy: policy(1)})
@@ -95,7 +107,6 @@
 	b.handle(traffic.InstancesListed{Names: map[string]bool{b.Self.Name: true}})
 	b.handle(traffic.EvacuationsListed{})
 	b.handle(traffic.ServingStarted{})
-	b.join()
 	return b
 }
 
