Keep a server's connection limit while instances start

The class of the flood of cold servers once more: after a restart of all, each instance that knew only itself would have opened up to all connections that a server accepts (300 each; TestRestartOfAllInstancesKeepsTheConnectionLimit, failed before). And an instance whose share fell, since others had joined, kept its idle connections above it for 8.5 s (TestIdleConnectionsAboveALowerLimitAreClosed, 4 open for a limit of 2 before).

Change: until it has shares, an instance opens as many connections as the server has slots, which keep it fully busy; idle ones above a lowered share are closed at the next request.

The readers of the store are chosen among the known instances too, but take nothing from each other: instances that disagree make some more calls (TestRandomFaults of relayer), so nothing is changed there.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -226,6 +226,9 @@
 		p = &pool{}
 		f.pools[key] = p
 	}
+	if send.Connections > 0 {
+		p.closeIdle(p.open - send.Connections)
+	}
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
@@ -241,6 +244,15 @@
 	return nil, nil
 }
 
+// closeIdle closes up to n idle connections, the least recently used first.
+func (p *pool) closeIdle(n int) {
+	n = min(max(n, 0), len(p.idle))
+	for _, c := range p.idle[:n] {
+		go c.close()
+	}
+	p.idle = p.idle[n:]
+}
+
 // currentIdleLimit returns the idle time up to which connections are reused.
 // After one was found closed, the limit falls to half of its idle time and
 // grows back to idleLimit during idleRecovery.
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -377,3 +377,39 @@
 	close(release)
 	assert.Equal(t, (<-first).Fate, traffic.Ran)
 }
+
+// When this instance's share of a server's connections falls, since others have joined,
+// it closes the idle ones above it: the others count on that.
+func TestIdleConnectionsAboveALowerLimitAreClosed(t *testing.T) {
+	s := startServer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		time.Sleep(50 * time.Millisecond)
+		respond(conn, r.Header.Get("X-Id"), "done")
+		return true
+	})
+	f := newForwarder(t)
+	exchange := func(id string, connections int) traffic.Outcome {
+		return f.Exchange(t.Context(), traffic.Request{ID: id, Method: "GET", Target: "/", Host: "shop.example"}, traffic.Send{
+			Upstream: traffic.Upstream{ID: "s1", Address: s.address}, Deadline: time.Now().Add(5 * time.Second),
+			Connections: connections, Idempotent: true,
+		})
+	}
+	outcomes := make(chan traffic.Outcome, 4)
+	for i := range 4 {
+		go func() { outcomes <- exchange(fmt.Sprint(i), 4) }()
+	}
+	for range 4 {
+		assert.Equal(t, (<-outcomes).Fate, traffic.Ran)
+	}
+	assert.Equal(t, exchange("after", 2).Fate, traffic.Ran)
+	open := 0
+	for range 200 {
+		f.mutex.Lock()
+		open = f.pools["s1 "+s.address].open
+		f.mutex.Unlock()
+		if open <= 2 {
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	assert.Equal(t, open, 2)
+}
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -145,7 +145,7 @@
 		Call:        c.number,
 		Attempt:     c.attempts,
 		Upstream:    u.Upstream,
-		Connections: s.connectionLimit(c.service),
+		Connections: s.connectionLimit(u),
 		Spare:       s.spareCount(c, u),
 		Deadline:    c.deadline,
 		Idempotent:  c.route.Idempotent,
@@ -172,13 +172,18 @@
 }
 
 // connectionLimit returns this instance's share of the connections that a server
-// of the service accepts, or 0 if the policy sets no limit.
-func (s *Steerer) connectionLimit(serviceName string) int {
-	limit := s.policy.Services[serviceName].MaxConnections
+// accepts, or 0 if the policy sets no limit. An instance without shares opens no more
+// than the server has slots.
+func (s *Steerer) connectionLimit(u *upstream) int {
+	limit := s.policy.Services[u.Service].MaxConnections
 	if limit <= 0 {
 		return 0
 	}
-	return max(1, limit/s.instances.size())
+	share := max(1, limit/s.instances.size())
+	if !s.hasShares() {
+		return min(share, u.Slots)
+	}
+	return share
 }
 
 // giveUp ends a call for which no further attempt is possible: it delivers the last
--- a/internal/steerer/restart_test.go
+++ b/internal/steerer/restart_test.go
@@ -217,3 +217,18 @@
 	assert.Assert(t, retries <= budget, "%d retries of %d requests, at most %d allowed", retries, requests, budget)
 	assert.Assert(t, retries > requests/10, "only %d retries", retries)
 }
+
+// All instances of a fleet restart, and each knows only itself. Together they must not
+// open more connections to a server than it accepts.
+func TestRestartOfAllInstancesKeepsTheConnectionLimit(t *testing.T) {
+	const instances, limit = 71, 300
+	b := newStartedBench(t, server("s1", "a1"))
+	_, effects := b.request("/look/1", "7")
+	send := b.mustSend(effects)
+	assert.Assert(t, send.Connections*instances <= limit, "%d connections", send.Connections)
+	assert.Assert(t, send.Connections >= send.Upstream.Slots, "only %d connections", send.Connections)
+	b.endAttempt(send, successOutcome())
+	b.join()
+	_, effects = b.request("/look/1", "7")
+	assert.Equal(t, b.mustSend(effects).Connections, limit)
+}
