Count what a server got before it was known to be cold

Change: every request counts, and the count of a process outlives the removal of its record by the window. A new process under the same ID begins anew.

--- a/internal/pacer/pacer.go
+++ b/internal/pacer/pacer.go
@@ -4,8 +4,9 @@
 // Usage:
 //
 //	p := pacer.Pacer{Window: time.Second}
-//	if p.Take(now, 2) {
+//	if p.CanTake(now, 2) {
 //		// at most two in any second
+//		p.Count(now)
 //	}
 package pacer
 
@@ -18,28 +19,28 @@
 	taken []time.Time
 }
 
-// Take counts an event and returns true, or returns false if the window that
-// ends now already holds limit events.
-func (p *Pacer) Take(now time.Time, limit int) bool {
-	if !p.CanTake(now, limit) {
-		return false
-	}
+// Count counts an event, whether a limit allows it or not.
+func (p *Pacer) Count(now time.Time) {
+	p.expire(now)
 	p.taken = append(p.taken, now)
-	return true
 }
 
-// CanTake reports whether Take would succeed.
+// CanTake reports whether another event keeps the limit.
 func (p *Pacer) CanTake(now time.Time, limit int) bool {
+	p.expire(now)
+	return len(p.taken) < limit
+}
+
+// Taken returns the number of events in the window that ends now.
+func (p *Pacer) Taken(now time.Time) int {
+	p.expire(now)
+	return len(p.taken)
+}
+
+func (p *Pacer) expire(now time.Time) {
 	expired := 0
 	for expired < len(p.taken) && now.Sub(p.taken[expired]) > p.Window {
 		expired++
 	}
 	p.taken = p.taken[expired:]
-	return len(p.taken) < limit
-}
-
-// Taken returns the number of events in the window that ended at the last call of Take
-// or CanTake.
-func (p *Pacer) Taken() int {
-	return len(p.taken)
 }
--- a/internal/pacer/pacer_test.go
+++ b/internal/pacer/pacer_test.go
@@ -20,7 +20,8 @@
 		var taken []time.Time
 		for range 300 {
 			now = now.Add(time.Duration(random.IntN(200)) * time.Millisecond)
-			if p.Take(now, limit) {
+			if p.CanTake(now, limit) {
+				p.Count(now)
 				taken = append(taken, now)
 			}
 		}
@@ -34,5 +35,5 @@
 
 func TestZeroLimitAllowsNothing(t *testing.T) {
 	p := Pacer{Window: time.Second}
-	assert.Assert(t, !p.Take(time.Unix(1, 0), 0))
+	assert.Assert(t, !p.CanTake(time.Unix(1, 0), 0))
 }
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -135,8 +135,8 @@
 	c.lastChoice = choice
 	c.tried[u.ID] = true
 	c.triedServers = append(c.triedServers, u.ID)
+	u.pacer.Count(s.now)
 	if s.isCold(u) {
-		u.pacer.Take(s.now, s.coldLimit(u))
 		s.recordColdSend(c, u)
 	}
 	u.inFlight++
--- a/internal/steerer/belief_test.go
+++ b/internal/steerer/belief_test.go
@@ -204,3 +204,40 @@
 	b.handle(traffic.InstancesListed{Names: map[string]bool{"front-1": true}})
 	assert.Assert(t, b.Ready())
 }
+
+// A server turns cold, or its record is unreadable for a moment. What it got within the
+// last second counts towards its bound.
+func TestColdServerIsNotSentItsBoundTwice(t *testing.T) {
+	const bound = 18 // ColdRate * ColdFactor + ColdSlack
+	cold := server("s1", "a1")
+	cold.Cold = 3 * time.Second
+	warm := server("s1", "a1")
+	for _, c := range []struct {
+		name   string
+		first  traffic.Upstream
+		events []traffic.Event
+	}{
+		{"turns cold", warm, []traffic.Event{traffic.UpstreamSeen{Upstream: cold}}},
+		{"record unreadable", cold, []traffic.Event{traffic.UpstreamGone{ID: "s1"}, traffic.UpstreamSeen{Upstream: cold}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newReadyBench(t, c.first)
+			sent := 0
+			send := func(requests int) {
+				for i := range requests {
+					_, effects := b.advance(10*time.Millisecond).request("/look/1", fmt.Sprint(i))
+					if send, ok := findEffect[traffic.Send](effects); ok {
+						sent++
+						b.endAttempt(send, successOutcome())
+					}
+				}
+			}
+			send(bound - 3)
+			for _, e := range c.events {
+				b.handle(e)
+			}
+			send(50)
+			assert.Equal(t, sent, bound)
+		})
+	}
+}
--- a/internal/steerer/record.go
+++ b/internal/steerer/record.go
@@ -88,7 +88,7 @@
 		Message:  "sent to a cold server",
 		Frequent: true,
 		Attributes: []slog.Attr{
-			attr("request", c.request.ID), attr("call", c.number), attr("server", u.ID), attr("sent", u.pacer.Taken()),
+			attr("request", c.request.ID), attr("call", c.number), attr("server", u.ID), attr("sent", u.pacer.Taken(s.now)),
 			attr("share", s.coldLimit(u)), attr("instances", instances), attr("divided_by", dividedBy),
 		},
 	})
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/measurer"
+	"github.com/yuccathread/yuccathread/internal/pacer"
 	"github.com/yuccathread/yuccathread/internal/splitter"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
@@ -40,8 +41,10 @@
 	routes    map[string]*route
 	services  map[string]*service
 	upstreams map[string]*upstream
-	evacuated map[string]bool
-	store     storeState
+	// formerPacers holds the pacers of removed servers, whose records may return.
+	formerPacers map[process]*pacer.Pacer
+	evacuated    map[string]bool
+	store        storeState
 	// upstreamsListed and instancesListed are set by the first full read of the store.
 	upstreamsListed bool
 	instancesListed bool
@@ -84,6 +87,7 @@
 	s.routes = make(map[string]*route)
 	s.services = make(map[string]*service)
 	s.upstreams = make(map[string]*upstream)
+	s.formerPacers = make(map[process]*pacer.Pacer)
 	s.evacuated = make(map[string]bool)
 	s.coldDomains = make(map[string]time.Time)
 	s.calls = make(map[uint64]*call)
@@ -153,6 +157,7 @@
 // tick applies changes that depend only on the time.
 func (s *Steerer) tick() {
 	s.removeMissingUpstreams()
+	s.removeIdlePacers()
 	s.removeMissingInstances()
 	s.instances.expireLargest(s.now)
 	s.recordSize()
--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -56,7 +56,7 @@
 	ownLoad int
 
 	coldUntil time.Time
-	pacer     pacer.Pacer
+	pacer     *pacer.Pacer
 	ejector   ejector.Ejector
 	objects   recentObjects
 	// failureRate is the share of outcomes that failed, as of failureRateAt.
@@ -116,7 +116,7 @@
 
 func (s *Steerer) addUpstream(r traffic.Upstream) *upstream {
 	u := &upstream{Upstream: r, region: s.Settings.Domains[r.Domain], slowdown: 1}
-	u.pacer.Window = time.Second
+	u.pacer = s.takePacer(r)
 	u.ejector = ejector.Ejector{Failures: ejectFailures, Period: ejectPeriod}
 	s.upstreams[r.ID] = u
 	svc := s.service(r.Service)
@@ -126,8 +126,37 @@
 	return u
 }
 
+// process identifies a server's process: the server may start again under its ID.
+type process struct {
+	server  string
+	started int64
+}
+
+// takePacer returns the pacer of a server's process: the former one if its record has
+// only been away.
+func (s *Steerer) takePacer(r traffic.Upstream) *pacer.Pacer {
+	key := process{server: r.ID, started: r.Started}
+	former := s.formerPacers[key]
+	if former == nil {
+		return &pacer.Pacer{Window: time.Second}
+	}
+	delete(s.formerPacers, key)
+	return former
+}
+
+// removeIdlePacers removes the pacers of former servers that have got nothing within the
+// window.
+func (s *Steerer) removeIdlePacers() {
+	for key, p := range s.formerPacers {
+		if p.Taken(s.now) == 0 {
+			delete(s.formerPacers, key)
+		}
+	}
+}
+
 func (s *Steerer) removeUpstream(u *upstream, reason string) {
 	delete(s.upstreams, u.ID)
+	s.formerPacers[process{server: u.ID, started: u.Started}] = u.pacer
 	svc := s.service(u.Service)
 	kept := svc.servers[:0]
 	for _, other := range svc.servers {
