Remember which instances are gone, not only how many

The second hypothesis on the flood of cold servers: the rank that deals out the rest of a division counted the records of now, the divisor the largest number seen in 30 s.

Still the two numbers come from one list now, since a division by weights needs to know who is gone, not only how many. An instance that has stopped as planned is not counted any more once its record is withdrawn; one that is gone without a stop is, for 30 s as before.

--- a/internal/steerer/eligibility.go
+++ b/internal/steerer/eligibility.go
@@ -70,8 +70,8 @@
 func (s *Steerer) hashRank(server string) int {
 	ownHash := hashOf(server, s.Self.Name)
 	rank := 0
-	for name := range s.instances.records {
-		if name != s.Self.Name && hashOf(server, name) < ownHash {
+	for i := range s.instances.all() {
+		if i.Name != s.Self.Name && hashOf(server, i.Name) < ownHash {
 			rank++
 		}
 	}
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -1,23 +1,23 @@
 package steerer
 
 import (
+	"iter"
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
-// sizeRetention is how long the bounds are divided by the largest number of instances
-// seen. Otherwise the shares of all instances could add up to more than the bounds while
-// records of running instances are missing.
-const sizeRetention = 30 * time.Second
+// departedRetention is how long an instance whose record has gone without a stop still
+// counts in the division of bounds: it may be running.
+const departedRetention = 30 * time.Second
 
 // membership holds the known instances.
 type membership struct {
 	records map[string]*member
-	// largest is the largest number of instances seen lately, at largestAt.
-	largest   int
-	largestAt time.Time
+	// departed holds the instances whose records have gone without a stop, with the time
+	// until which they count.
+	departed map[string]departed
 	// ownRevision is that of the newest write of the own record, or zero while the store
 	// holds none. From joinedAt on every other instance knows of it, and until keptUntil
 	// its lease lasts at least.
@@ -35,29 +35,44 @@
 	keepUntil time.Time
 }
 
+type departed struct {
+	traffic.Instance
+	until time.Time
+}
+
 func (m *membership) initialize() {
 	m.records = make(map[string]*member)
+	m.departed = make(map[string]departed)
 }
 
-func (m *membership) updateLargest(now time.Time) {
-	if len(m.records) >= m.largest {
-		m.largest = len(m.records)
-		m.largestAt = now
+// expireDeparted forgets the instances that have been gone for departedRetention.
+func (m *membership) expireDeparted(now time.Time) {
+	for name, d := range m.departed {
+		if !now.Before(d.until) {
+			delete(m.departed, name)
+		}
 	}
 }
 
-// expireLargest lowers the largest number of instances after sizeRetention.
-func (m *membership) expireLargest(now time.Time) {
-	if now.Sub(m.largestAt) > sizeRetention {
-		m.largest = len(m.records)
-		m.largestAt = now
+// all returns the instances among which bounds are divided.
+func (m *membership) all() iter.Seq[traffic.Instance] {
+	return func(yield func(traffic.Instance) bool) {
+		for _, i := range m.records {
+			if !yield(i.Instance) {
+				return
+			}
+		}
+		for _, d := range m.departed {
+			if !yield(d.Instance) {
+				return
+			}
+		}
 	}
-	m.updateLargest(now)
 }
 
-// size returns the number of instances among which shares are divided.
+// size returns the number of instances among which bounds are divided.
 func (m *membership) size() int {
-	return max(m.largest, len(m.records), 1)
+	return max(len(m.records)+len(m.departed), 1)
 }
 
 // recordSize logs by how many instances bounds are divided, if that has changed.
@@ -83,7 +98,7 @@
 		s.recordStateChange("instance seen", attr("peer", i.Name), attr("incarnation", i.Incarnation), attr("leaving", i.Leaving))
 	}
 	s.instances.records[i.Name] = &member{Instance: i}
-	s.instances.updateLargest(s.now)
+	delete(s.instances.departed, i.Name)
 }
 
 func (s *Steerer) handleInstanceGone(name string, revision int64) {
@@ -107,10 +122,14 @@
 		return
 	}
 	for name, existing := range s.instances.records {
-		if existing.missing && !s.now.Before(existing.keepUntil) {
-			delete(s.instances.records, name)
-			s.recordStateChange("instance gone", attr("peer", name), attr("incarnation", existing.Incarnation))
+		if !existing.missing || s.now.Before(existing.keepUntil) {
+			continue
 		}
+		delete(s.instances.records, name)
+		if !existing.Leaving {
+			s.instances.departed[name] = departed{Instance: existing.Instance, until: s.now.Add(departedRetention)}
+		}
+		s.recordStateChange("instance gone", attr("peer", name), attr("incarnation", existing.Incarnation))
 	}
 }
 
@@ -148,12 +167,18 @@
 	}
 }
 
-// hasShares reports whether this instance may use its shares of bounds that all instances
-// keep together: it knows all instances whose records are older than its own, and all of
-// them know of it.
-func (s *Steerer) hasShares() bool {
+// joined reports whether this instance knows all instances whose records are older than
+// its own, and all others know of it.
+func (s *Steerer) joined() bool {
 	m := &s.instances
 	own := m.records[s.Self.Name]
 	listed := own != nil && own.Incarnation == s.Self.Incarnation
-	return listed && m.ownRevision > 0 && !s.now.Before(m.joinedAt) && s.now.Before(m.keptUntil)
+	return listed && m.ownRevision > 0 && !s.now.Before(m.joinedAt)
+}
+
+// hasShares reports whether this instance may use its shares of bounds that must never be
+// passed: it has joined the others, and its record's lease has not ended, so that those
+// that start know of it too.
+func (s *Steerer) hasShares() bool {
+	return s.joined() && s.now.Before(s.instances.keptUntil)
 }
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -159,7 +159,7 @@
 	s.removeMissingUpstreams()
 	s.removeIdlePacers()
 	s.removeMissingInstances()
-	s.instances.expireLargest(s.now)
+	s.instances.expireDeparted(s.now)
 	s.recordSize()
 }
 
