Keep the limits that servers name

A server in need names the requests a second that it takes from all instances together.

Cause: a rule of the wire that did not exist when the path was built; of the same kind as the shares of cold servers, so that it is divided in the same way: among instances that all know of each other, and from nothing until then.

Change: the limit is read (`platform`), divided (`apportioner`: by the share of a region's callers' objects that the server's region serves, and among few instances where it is low) and kept by a token bucket that starts empty. One instance per server writes what it learnt to the store (`publisher`), from where those that never meet the server and all that start have it. A refusal while all servers are at their limits says when the next request fits.

--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -26,6 +26,7 @@
 	"github.com/yuccathread/yuccathread/internal/follower"
 	"github.com/yuccathread/yuccathread/internal/forwarder"
 	"github.com/yuccathread/yuccathread/internal/gossiper"
+	"github.com/yuccathread/yuccathread/internal/publisher"
 	"github.com/yuccathread/yuccathread/internal/receiver"
 	"github.com/yuccathread/yuccathread/internal/registrar"
 	"github.com/yuccathread/yuccathread/internal/relayer"
@@ -71,6 +72,7 @@
 	carrier         *carrier.Carrier
 	receiver        *receiver.Receiver
 	registrar       *registrar.Registrar
+	publisher       *publisher.Publisher
 	relayer         *relayer.Relayer
 	frequentLimiter *rate.Limiter
 	failureLimiter  *rate.Limiter
@@ -89,6 +91,7 @@
 	}
 	l.startFollower(background)
 	go l.registrar.Run(background)
+	go l.publisher.Run(background)
 	l.Logger.Info("started", "caller_address", l.Settings.CallerAddress, "incarnation", l.registrar.Instance.Incarnation)
 	callerServer, err := l.listenWhenSynced(ctx, serveErrors)
 	if err != nil || callerServer == nil {
@@ -129,12 +132,14 @@
 		Undecoded: l.countUndecoded,
 	}
 	l.registrar = &registrar.Registrar{Store: l.Store, Instance: self, Logger: l.Logger, Times: l.times}
+	l.publisher = &publisher.Publisher{Store: l.Store, Logger: l.Logger, Timeout: l.times.LeaseCallTimeout()}
 	l.carrier = &carrier.Carrier{
 		Steerer:    &steerer.Steerer{Self: self, Settings: s},
 		Forwarder:  l.forwarder,
 		Clock:      l.Clock,
 		Record:     l.record,
 		Reannounce: l.registrar.Reannounce,
+		Publish:    l.publisher.Publish,
 	}
 	l.registrar.Kept = func(e traffic.RecordKept) { l.carrier.Handle(e) }
 	peers := gossiper.Gossiper{Timeout: l.times.RelayWait() + l.times.RelayTimeout()}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -83,6 +83,8 @@
 		traffic.EvacuationGone{},
 		traffic.InstanceSeen{},
 		traffic.InstanceGone{},
+		traffic.LimitSeen{},
+		traffic.LimitGone{},
 	} {
 		gob.Register(event)
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -354,6 +354,8 @@
 		traffic.EvacuationGone{Domain: "a1"},
 		traffic.InstanceSeen{Instance: traffic.Instance{Name: "front-1", PeerAddress: "10.0.0.1:70"}},
 		traffic.InstanceGone{Name: "front-2"},
+		traffic.LimitSeen{Limit: traffic.ServerLimit{Server: "s1", Started: 7, Limited: true, PerSecond: 2.5}},
+		traffic.LimitGone{Server: "s2"},
 	}
 	changes := traffic.Changes{Revision: int64(len(sent)), Events: sent}
 	for i := range sent {
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -136,6 +136,7 @@
 	c.tried[u.ID] = true
 	c.triedServers = append(c.triedServers, u.ID)
 	u.pacer.Count(s.now)
+	s.takeFromLimit(u)
 	if s.isCold(u) {
 		s.recordColdSend(c, u)
 	}
--- a/internal/steerer/eligibility.go
+++ b/internal/steerer/eligibility.go
@@ -26,9 +26,15 @@
 }
 
 func (s *Steerer) usable(u *upstream) bool {
-	if u.Draining || u.misdirected || s.evacuated[u.Domain] || u.ejector.Ejected(s.now) {
-		return false
-	}
+	return s.available(u) && s.limitAllows(u) && s.coldLimitAllows(u)
+}
+
+// available reports whether a server may get requests as far as its rate allows.
+func (s *Steerer) available(u *upstream) bool {
+	return !u.Draining && !u.misdirected && !s.evacuated[u.Domain] && !u.ejector.Ejected(s.now)
+}
+
+func (s *Steerer) coldLimitAllows(u *upstream) bool {
 	return !s.isCold(u) || u.pacer.CanTake(s.now, s.coldLimit(u))
 }
 
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -176,6 +176,12 @@
 	return listed && m.ownRevision > 0 && !s.now.Before(m.joinedAt)
 }
 
+// counts reports whether the others count this instance when they divide bounds: it has
+// joined them, and they have not forgotten it since its lease may have ended.
+func (s *Steerer) counts() bool {
+	return s.joined() && s.now.Before(s.instances.keptUntil.Add(departedRetention))
+}
+
 // hasShares reports whether this instance may use its shares of bounds that must never be
 // passed: it has joined the others, and its record's lease has not ended, so that those
 // that start know of it too.
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -63,6 +63,7 @@
 		u.respondedAt = s.now
 	}
 	s.updateLoad(u, o.Reply.Load)
+	s.observeLimit(u, o.Reply)
 	s.roundTrip(u).Observe(o.Connected)
 	cancelled := c.answered || c.expired
 	switch {
--- a/internal/steerer/placement.go
+++ b/internal/steerer/placement.go
@@ -69,7 +69,7 @@
 	}
 	found, preferred := s.candidates(c)
 	if len(found) == 0 {
-		return choice{refusal: traffic.NoServer, retryAfter: defaultRetryAfter}
+		return s.noChoice(c)
 	}
 	best := s.cheapest(c, found, preferred)
 	if best.server != nil && best.expected > c.deadline.Sub(s.now) && c.attempts == 0 && c.route.workTimes.reliable() {
@@ -79,6 +79,25 @@
 	return best
 }
 
+// noChoice explains why no server may get a call: all are at their limits, so that the
+// next of this instance's requests that one accepts tells when to come back, or none is
+// available.
+func (s *Steerer) noChoice(c *call) choice {
+	wait := time.Duration(math.MaxInt64)
+	for _, u := range s.service(c.service).servers {
+		if !s.available(u) || !regionAllowed(c.route.HomeRegions, u.region) || c.tried[u.ID] {
+			continue
+		}
+		if limitWait, limited := s.limitWait(u); limited {
+			wait = min(wait, limitWait)
+		}
+	}
+	if wait == math.MaxInt64 {
+		return choice{refusal: traffic.NoServer, retryAfter: defaultRetryAfter}
+	}
+	return choice{refusal: traffic.Overloaded, retryAfter: wait}
+}
+
 // candidates returns the servers to compare for a call, and the object's preferred
 // server, which has the lowest score and is expected to have the object in its
 // cache. Other servers are expected to have it only if this instance has sent them
--- a/internal/steerer/region.go
+++ b/internal/steerer/region.go
@@ -25,7 +25,7 @@
 // without coordination.
 func (s *Steerer) regionShares(svc *service) map[string]float64 {
 	slots, total := s.regionSlots(svc)
-	target := s.targetShares(slots, total)
+	target := s.targetShares(s.Self.Region, slots, total)
 	if svc.shares == nil {
 		svc.shares = target
 	} else {
@@ -52,29 +52,29 @@
 	return slots, total
 }
 
-// targetShares keeps as many objects in this region as it has capacity for and
-// divides the rest among the other regions by the capacity that their own callers
-// leave free. Every instance computes this on its own from the servers' records,
+// targetShares returns the shares of a region's callers' objects that each region serves.
+// It keeps as many objects in the region as it has capacity for and divides the rest
+// among the other regions by the capacity that their own callers leave free. Every instance computes this on its own from the servers' records,
 // assuming that all regions' callers send the same load.
-func (s *Steerer) targetShares(slots map[string]float64, total float64) map[string]float64 {
+func (s *Steerer) targetShares(home string, slots map[string]float64, total float64) map[string]float64 {
 	regions := float64(max(len(s.regions()), 1))
 	// capacity is the fraction of all callers' objects that a region can serve.
 	capacity := func(region string) float64 { return slots[region] / total / homeLoad }
 	ownDemand := func(region string) float64 { return min(1/regions, capacity(region)) }
 	spareCapacity := 0.0
 	for region := range slots {
-		if region != s.Self.Region {
+		if region != home {
 			spareCapacity += capacity(region) - ownDemand(region)
 		}
 	}
 	ownShare := 0.0
-	if slots[s.Self.Region] > 0 {
-		ownShare = ownDemand(s.Self.Region) * regions
+	if slots[home] > 0 {
+		ownShare = ownDemand(home) * regions
 	}
 	shares := make(map[string]float64, len(slots))
 	for region := range slots {
 		switch {
-		case region == s.Self.Region:
+		case region == home:
 			shares[region] = ownShare
 		case spareCapacity > 0:
 			shares[region] = (1 - ownShare) * (capacity(region) - ownDemand(region)) / spareCapacity
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -52,6 +52,10 @@
 	// until which its servers are treated as cold, even if no report says so.
 	coldDomains map[string]time.Time
 	calls       map[uint64]*call
+	// storedLimits holds the limits of servers that the store holds, and
+	// unpublishedLimits those that it should hold and does not.
+	storedLimits      map[string]traffic.ServerLimit
+	unpublishedLimits map[string]*limitNews
 	// roundTrips maps each failure domain to the round-trip time to its servers.
 	roundTrips map[string]*measurer.Measurer
 	instances  membership
@@ -91,6 +95,8 @@
 	s.evacuated = make(map[string]bool)
 	s.coldDomains = make(map[string]time.Time)
 	s.calls = make(map[uint64]*call)
+	s.storedLimits = make(map[string]traffic.ServerLimit)
+	s.unpublishedLimits = make(map[string]*limitNews)
 	s.roundTrips = make(map[string]*measurer.Measurer)
 	s.instances.initialize()
 }
@@ -151,6 +157,19 @@
 		s.handleStoreLost(e)
 	case traffic.StoreRegained:
 		s.handleStoreRegained(e)
+	default:
+		s.reduceLimitEvent(e)
+	}
+}
+
+func (s *Steerer) reduceLimitEvent(e traffic.Event) {
+	switch e := e.(type) {
+	case traffic.LimitSeen:
+		s.handleLimitSeen(e.Limit)
+	case traffic.LimitGone:
+		s.handleLimitGone(e.Server)
+	case traffic.LimitsListed:
+		s.handleLimitsListed(e.Servers)
 	}
 }
 
@@ -161,6 +180,7 @@
 	s.removeMissingInstances()
 	s.instances.expireDeparted(s.now)
 	s.recordSize()
+	s.publishLimits()
 }
 
 // Ready reports whether callers may use this instance: the policy, the servers and
--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/apportioner"
 	"github.com/yuccathread/yuccathread/internal/budgeter"
 	"github.com/yuccathread/yuccathread/internal/ejector"
 	"github.com/yuccathread/yuccathread/internal/pacer"
@@ -42,6 +43,9 @@
 	// as of sharesAt.
 	shares   map[string]float64
 	sharesAt time.Time
+	// apportioners divide the limits of the servers of each region, as of apportionedAt.
+	apportioners  map[string]*apportioner.Apportioner
+	apportionedAt time.Time
 }
 
 // upstream holds a server's record and the statistics about it.
@@ -58,6 +62,7 @@
 	coldUntil time.Time
 	pacer     *pacer.Pacer
 	ejector   ejector.Ejector
+	limit     rateLimit
 	objects   recentObjects
 	// failureRate is the share of outcomes that failed, as of failureRateAt.
 	failureRate   float64
@@ -123,6 +128,7 @@
 	svc.servers = append(svc.servers, u)
 	s.recordStateChange("server joined", attr("server", r.ID), attr("service", r.Service), attr("failure_domain", r.Domain),
 		attr("slots", r.Slots), attr("revision", r.Revision))
+	s.applyStoredLimit(u)
 	return u
 }
 
@@ -165,6 +171,7 @@
 		}
 	}
 	svc.servers = kept
+	s.compareLimits(u.ID)
 	s.recordStateChange("server left", attr("server", u.ID), attr("reason", reason), attr("revision", u.Revision))
 }
 
--- a/internal/traffic/boundary.go
+++ b/internal/traffic/boundary.go
@@ -42,6 +42,8 @@
 	// Announce writes an instance's record under a lease and returns the revision of the
 	// write.
 	Announce(ctx context.Context, instance Instance, lease int64) (revision int64, err error)
+	// WriteLimits writes the limits of servers and removes those that have ended.
+	WriteLimits(ctx context.Context, limits []ServerLimit) error
 	// Withdraw ends the lease and removes the records written under it.
 	Withdraw(ctx context.Context, lease int64) error
 }
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -37,6 +37,7 @@
 	// Misdirected is set if a server other than the expected one responded.
 	Misdirected bool
 	Load        Load
+	Limit       Limit
 	// CloseConnection is set if the server closes the connection after the response.
 	CloseConnection bool
 	// IdleTimeout is how long the server keeps the idle connection, or zero if unknown.
