Remember the number of instances in the store

Cause: an instance that starts when no other is left knows nothing of the fleet's size. What must outlive all instances belongs in the store.

Change: one instance writes the number of instances when it changes; one that starts divides connections by it until it has joined. Cold servers and limits still wait for joining: a number without names does not say who has the rest of the division, nor whether the fleet has grown meanwhile. Where the store remembers nothing, the slots stay the bound.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -30,8 +30,9 @@
 	// Reannounce is called when this instance's record is missing from the store as of a
 	// revision; it must not block.
 	Reannounce func(revision int64)
-	// Publish is called with limits of servers for the store; it must not block.
-	Publish func(limits []traffic.ServerLimit)
+	// Publish is called with each traffic.PublishLimits and traffic.PublishFleetSize; it
+	// must not block.
+	Publish func(traffic.Effect)
 
 	mutex    sync.Mutex
 	lastCall uint64
@@ -146,8 +147,8 @@
 		c.Record(e)
 	case traffic.Reannounce:
 		c.Reannounce(e.Revision)
-	case traffic.PublishLimits:
-		c.Publish(e.Limits)
+	case traffic.PublishLimits, traffic.PublishFleetSize:
+		c.Publish(e)
 	}
 }
 
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -1,14 +1,15 @@
-// Package publisher writes what an instance has learnt about servers to the store in the
-// background, for the other instances and for those that start later.
+// Package publisher writes what an instance has learnt to the store in the background,
+// for the other instances and for those that start later: the limits of servers and the
+// number of instances.
 //
 // A write that fails is dropped: the reducer asks for it again as long as the store does
-// not hold the limit.
+// not hold what it should.
 //
 // Usage:
 //
 //	p := &publisher.Publisher{Store: store, Logger: logger, Timeout: timeout}
 //	go p.Run(ctx)
-//	p.Publish(limits)
+//	p.Publish(traffic.PublishLimits{Limits: limits})
 package publisher
 
 import (
@@ -23,7 +24,7 @@
 // queueLength is the number of writes that may wait while the store is slow.
 const queueLength = 16
 
-// Publisher writes limits of servers to the store. Set the exported fields before Run.
+// Publisher writes to the store. Set the exported fields before Run.
 type Publisher struct {
 	Store  traffic.Store
 	Logger *slog.Logger
@@ -31,40 +32,47 @@
 	Timeout time.Duration
 
 	once  sync.Once
-	queue chan []traffic.ServerLimit
+	queue chan traffic.Effect
 }
 
 func (p *Publisher) initQueue() {
-	p.once.Do(func() { p.queue = make(chan []traffic.ServerLimit, queueLength) })
+	p.once.Do(func() { p.queue = make(chan traffic.Effect, queueLength) })
 }
 
-// Publish writes limits soon. It does not block.
-func (p *Publisher) Publish(limits []traffic.ServerLimit) {
+// Publish carries out a traffic.PublishLimits or a traffic.PublishFleetSize soon. It does
+// not block.
+func (p *Publisher) Publish(effect traffic.Effect) {
 	p.initQueue()
 	select {
-	case p.queue <- limits:
+	case p.queue <- effect:
 	default:
-		p.Logger.Warn("limits not published", "servers", len(limits), "error", "too many writes are waiting")
+		p.Logger.Warn("not published", "error", "too many writes are waiting")
 	}
 }
 
-// Run writes limits until ctx ends.
+// Run writes until ctx ends.
 func (p *Publisher) Run(ctx context.Context) {
 	p.initQueue()
 	for {
 		select {
-		case limits := <-p.queue:
-			p.write(ctx, limits)
+		case effect := <-p.queue:
+			if err := p.write(ctx, effect); err != nil {
+				p.Logger.Warn("not published", "error", err.Error())
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (p *Publisher) write(ctx context.Context, limits []traffic.ServerLimit) {
+func (p *Publisher) write(ctx context.Context, effect traffic.Effect) error {
 	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
 	defer cancel()
-	if err := p.Store.WriteLimits(ctx, limits); err != nil {
-		p.Logger.Warn("limits not published", "servers", len(limits), "error", err.Error())
+	switch e := effect.(type) {
+	case traffic.PublishLimits:
+		return p.Store.WriteLimits(ctx, e.Limits)
+	case traffic.PublishFleetSize:
+		return p.Store.WriteFleetSize(ctx, e.Instances)
 	}
+	return nil
 }
--- a/internal/publisher/publisher_test.go
+++ b/internal/publisher/publisher_test.go
@@ -18,9 +18,15 @@
 type fakeStore struct {
 	traffic.Store
 	written [][]traffic.ServerLimit
+	size    int
 	hang    bool
 }
 
+func (s *fakeStore) WriteFleetSize(_ context.Context, instances int) error {
+	s.size = instances
+	return nil
+}
+
 func (s *fakeStore) WriteLimits(ctx context.Context, limits []traffic.ServerLimit) error {
 	if s.hang {
 		<-ctx.Done()
@@ -41,14 +47,16 @@
 		go p.Run(ctx)
 		limits := []traffic.ServerLimit{{Server: "s1", Limited: true, PerSecond: 2.5}}
 		for range queueLength + 5 {
-			p.Publish(limits)
+			p.Publish(traffic.PublishLimits{Limits: limits})
 			synctest.Wait()
 		}
 		assert.Equal(t, strings.Count(log.String(), "too many"), 4)
 		time.Sleep((queueLength + 2) * time.Second)
 		store.hang = false
-		p.Publish(limits)
+		p.Publish(traffic.PublishLimits{Limits: limits})
+		p.Publish(traffic.PublishFleetSize{Instances: 7})
 		synctest.Wait()
+		assert.Equal(t, store.size, 7)
 		assert.DeepEqual(t, store.written, [][]traffic.ServerLimit{limits})
 		cancel()
 		synctest.Wait()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -85,6 +85,7 @@
 		traffic.InstanceGone{},
 		traffic.LimitSeen{},
 		traffic.LimitGone{},
+		traffic.FleetSizeSeen{},
 	} {
 		gob.Register(event)
 	}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -356,6 +356,7 @@
 		traffic.InstanceGone{Name: "front-2"},
 		traffic.LimitSeen{Limit: traffic.ServerLimit{Server: "s1", Started: 7, Limited: true, PerSecond: 2.5}},
 		traffic.LimitGone{Server: "s2"},
+		traffic.FleetSizeSeen{Instances: 10},
 	}
 	changes := traffic.Changes{Revision: int64(len(sent)), Events: sent}
 	for i := range sent {
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -173,18 +173,22 @@
 }
 
 // connectionLimit returns this instance's share of the connections that a server
-// accepts, or 0 if the policy sets no limit. An instance without shares opens no more
+// accepts, or 0 if the policy sets no limit. An instance without shares divides by the
+// number of instances that the store remembers; if it remembers none, it opens no more
 // than the server has slots.
 func (s *Steerer) connectionLimit(u *upstream) int {
 	limit := s.policy.Services[u.Service].MaxConnections
 	if limit <= 0 {
 		return 0
 	}
-	share := max(1, limit/s.instances.size())
+	size := s.instances.size()
 	if !s.hasShares() {
-		return min(share, u.Slots)
+		size = s.instances.startSize()
 	}
-	return share
+	if size == 0 {
+		return min(limit, u.Slots)
+	}
+	return max(1, limit/size)
 }
 
 // giveUp ends a call for which no further attempt is possible: it delivers the last
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -23,6 +23,10 @@
 	// its lease lasts at least.
 	ownRevision         int64
 	joinedAt, keptUntil time.Time
+	// storedSize is the number of instances that the store remembers, also when none is
+	// left, and sizePublishedAt when this instance last wrote it.
+	storedSize      int
+	sizePublishedAt time.Time
 	// recorded and recordedSize are the numbers in the newest log line about them.
 	recorded, recordedSize int
 }
@@ -167,6 +171,30 @@
 	}
 }
 
+// startSize returns the number of instances among which an instance divides bounds as
+// long as it may not know all of them, or zero if nobody has counted them yet.
+func (m *membership) startSize() int {
+	if m.storedSize == 0 {
+		return 0
+	}
+	return max(m.storedSize, m.size())
+}
+
+// publishSize writes the number of instances to the store if it differs from what the
+// store holds. One instance does so.
+func (s *Steerer) publishSize() {
+	m := &s.instances
+	times := timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
+	if m.size() == m.storedSize || !s.hasShares() || s.store.unavailable || s.hashRank("") > 0 {
+		return
+	}
+	if s.now.Sub(m.sizePublishedAt) < times.JoinDelay() {
+		return
+	}
+	m.sizePublishedAt = s.now
+	s.emit(traffic.PublishFleetSize{Instances: m.size()})
+}
+
 // joined reports whether this instance knows all instances whose records are older than
 // its own, and all others know of it.
 func (s *Steerer) joined() bool {
--- a/internal/steerer/restart_test.go
+++ b/internal/steerer/restart_test.go
@@ -233,3 +233,75 @@
 	_, effects = b.request("/look/1", "7")
 	assert.Equal(t, b.mustSend(effects).Connections, limit)
 }
+
+// The store remembers the number of instances when none is left, so that those that start
+// divide by it before they know each other. One instance writes it, when it changes.
+func TestFleetSizeIsRemembered(t *testing.T) {
+	const instances, limit = 10, 300
+	var fleet []*testBench
+	for i := range instances {
+		b := newTestBench(t, fmt.Sprintf("front-%d", i), "a1")
+		for j := range instances {
+			b.handle(traffic.InstanceSeen{Instance: traffic.Instance{Name: fmt.Sprintf("front-%d", j)}})
+		}
+		b.join()
+		fleet = append(fleet, b)
+	}
+	var written []int
+	tick := func(after time.Duration) {
+		for _, b := range fleet {
+			publish, ok := findEffect[traffic.PublishFleetSize](b.advance(after).handle(traffic.Ticked{}))
+			if ok {
+				written = append(written, publish.Instances)
+			}
+		}
+		for _, b := range fleet {
+			for _, size := range written {
+				b.handle(traffic.FleetSizeSeen{Instances: size})
+			}
+		}
+	}
+	tick(0)
+	tick(time.Minute)
+	assert.DeepEqual(t, written, []int{instances})
+
+	started := newStartedBench(t, server("s1", "a1"))
+	started.handle(traffic.FleetSizeSeen{Instances: instances})
+	_, effects := started.request("/look/1", "7")
+	assert.Equal(t, started.mustSend(effects).Connections, limit/instances)
+
+	for _, b := range fleet {
+		b.handle(traffic.InstanceGone{Name: "front-0"})
+	}
+	fleet = fleet[1:]
+	tick(departedRetention)
+	tick(departedRetention)
+	assert.DeepEqual(t, written, []int{instances, instances - 1})
+}
+
+// An instance that is paused or cut off for longer than its record's lease has no shares
+// when it goes on, even before it hears from the store: others may have started that do
+// not know of it. It has them again once the record has been kept.
+func TestPausedInstanceHasNoSharesWhenItsLeaseHasEnded(t *testing.T) {
+	b := newReadyBench(t, server("s1", "a1"))
+	cold := server("s1", "a1")
+	cold.Cold, cold.Revision = time.Hour, 2
+	b.handle(traffic.UpstreamSeen{Upstream: cold})
+	b.handle(traffic.RecordKept{Revision: 1, Lasts: 5 * time.Second})
+	_, effects := b.advance(4*time.Second).request("/look/1", "7")
+	b.endAttempt(b.mustSend(effects), successOutcome())
+	_, effects = b.advance(2*time.Second).request("/look/1", "7")
+	assert.Equal(t, b.mustRefuse(effects).Reason, traffic.NoServer)
+	b.handle(traffic.RecordKept{Revision: 1, Lasts: 5 * time.Second})
+	_, effects = b.request("/look/1", "7")
+	b.endAttempt(b.mustSend(effects), successOutcome())
+
+	// The record is gone and written again: others need the time to learn of it.
+	b.handle(traffic.InstanceGone{Name: b.Self.Name, Revision: 3})
+	b.handle(traffic.RecordKept{Revision: 4, Lasts: 5 * time.Second})
+	_, effects = b.request("/look/1", "7")
+	assert.Equal(t, b.mustRefuse(effects).Reason, traffic.NoServer)
+	times := timekeeper.Timekeeper{Bounds: b.Settings.Bounds}
+	_, effects = b.advance(times.JoinDelay()).request("/look/1", "7")
+	b.endAttempt(b.mustSend(effects), successOutcome())
+}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -151,6 +151,8 @@
 		s.handleInstanceGone(e.Name, e.Revision)
 	case traffic.InstancesListed:
 		s.handleInstancesListed(e)
+	case traffic.FleetSizeSeen:
+		s.instances.storedSize = e.Instances
 	case traffic.RecordKept:
 		s.handleRecordKept(e)
 	case traffic.StoreLost:
@@ -181,6 +183,7 @@
 	s.instances.expireDeparted(s.now)
 	s.recordSize()
 	s.publishLimits()
+	s.publishSize()
 }
 
 // Ready reports whether callers may use this instance: the policy, the servers and
--- a/internal/traffic/boundary.go
+++ b/internal/traffic/boundary.go
@@ -44,6 +44,8 @@
 	Announce(ctx context.Context, instance Instance, lease int64) (revision int64, err error)
 	// WriteLimits writes the limits of servers and removes those that have ended.
 	WriteLimits(ctx context.Context, limits []ServerLimit) error
+	// WriteFleetSize writes the number of instances.
+	WriteFleetSize(ctx context.Context, instances int) error
 	// Withdraw ends the lease and removes the records written under it.
 	Withdraw(ctx context.Context, lease int64) error
 }
--- a/internal/traffic/effect.go
+++ b/internal/traffic/effect.go
@@ -88,3 +88,9 @@
 type Reannounce struct{ Revision int64 }
 
 func (Reannounce) effect() {}
+
+// PublishFleetSize writes the number of instances to the store, for those that start
+// when no other instance is left.
+type PublishFleetSize struct{ Instances int }
+
+func (PublishFleetSize) effect() {}
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -88,6 +88,9 @@
 	Lasts time.Duration
 }
 
+// FleetSizeSeen reports the number of instances that the store remembers.
+type FleetSizeSeen struct{ Instances int }
+
 // StoreLost reports that the store has stopped responding.
 type StoreLost struct{ Err error }
 
@@ -127,6 +130,7 @@
 func (InstanceGone) event()      {}
 func (InstancesListed) event()   {}
 func (RecordKept) event()        {}
+func (FleetSizeSeen) event()     {}
 func (StoreLost) event()         {}
 func (StoreRegained) event()     {}
 func (SettingsReloaded) event()  {}
