Send no empty success to a caller that has closed its sending side

Found while tracing GONE on cold-shares. net/http takes a caller that closes its sending side for gone; the handler then returned without writing, and net/http sends an empty 200 for that: a success that no server has given, to a caller that may still read. TestHalfClosedCallerGetsNoFalseAnswer: "HTTP/1.1 200 OK, Content-Length: 0" before.

Change: the connection is closed without an answer, and counted. The request may have run, which is what a closed connection says.

--- /dev/null
+++ b/internal/receiver/caller_test.go
@@ -0,0 +1,80 @@
+package receiver
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
+	"gotest.tools/v3/assert"
+
+	"github.com/yuccathread/yuccathread/internal/carrier"
+	"github.com/yuccathread/yuccathread/internal/clock"
+	"github.com/yuccathread/yuccathread/internal/collector"
+	"github.com/yuccathread/yuccathread/internal/steerer"
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+// bareCodec decodes nothing: the instance knows no policy and refuses every request.
+type bareCodec struct{ traffic.Codec }
+
+func (bareCodec) DecodeRequest(*http.Request) traffic.Request { return traffic.Request{} }
+
+// newCallerServer returns a server whose decisions about requests are counted. Each
+// handler waits for gate before it starts.
+func newCallerServer(decided *atomic.Int64, gate <-chan struct{}) *http.Server {
+	r := &Receiver{
+		Carrier: &carrier.Carrier{
+			Steerer: &steerer.Steerer{}, Clock: clock.System(), Record: func(traffic.Record) { decided.Add(1) },
+		},
+		Codec: bareCodec{}, Clock: clock.System(), Registry: metrics.NewRegistry(), MaxBodyBytes: 1 << 20,
+		Bodies: &collector.Collector{Memory: semaphore.NewWeighted(1 << 20)},
+	}
+	return &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			<-gate
+			r.Serve(w, req)
+		}),
+	}
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	return listener
+}
+
+func dial(t *testing.T, listener net.Listener, request string) *net.TCPConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, request)
+	assert.NilError(t, err)
+	return conn.(*net.TCPConn)
+}
+
+// A caller that closes its sending side is taken to have left. It must not get an empty
+// success in place of an answer.
+func TestHalfClosedCallerGetsNoFalseAnswer(t *testing.T) {
+	for range 20 {
+		var decided atomic.Int64
+		gate := make(chan struct{})
+		listener := listen(t)
+		server := newCallerServer(&decided, gate)
+		go server.Serve(listener)
+		conn := dial(t, listener, "GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n")
+		assert.NilError(t, conn.CloseWrite())
+		time.Sleep(20 * time.Millisecond)
+		close(gate)
+		response, err := io.ReadAll(conn)
+		assert.Assert(t, !strings.Contains(string(response), "HTTP/1.1 200"), "%s %v", response, err)
+		conn.Close()
+		server.Close()
+	}
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -59,10 +59,20 @@
 		r.deliver(w, e.Reply)
 	case traffic.Refuse:
 		r.refuse(w, e)
+	default:
+		r.abandon("callers.left")
 	}
 	r.timer("request").UpdateSince(receivedAt)
 }
 
+// abandon closes the connection of a caller that has left, and counts it. A return without
+// a response would send an empty success to a caller that has only closed its sending
+// side.
+func (r *Receiver) abandon(counter string) {
+	r.count(counter)
+	panic(http.ErrAbortHandler)
+}
+
 func (r *Receiver) timer(name string) metrics.Timer {
 	return metrics.GetOrRegisterTimer(name, r.Registry)
 }
