Look whether a caller has left before its request is passed on

The instance was 1.5 s late, read the request from a connection that was closed long ago and passed it on; only then did net/http read on from the connection and notice.

Ruled out: attempts that go on after their caller has left (the run ends at once) and hedges (one arrival per request).

Change: after the request has been read, and before anything is decided, the socket is asked whether the caller has closed it.

--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -90,6 +90,7 @@
 func (l *Launcher) newCallerServer(limits traffic.Limits) *http.Server {
 	return &http.Server{
 		Handler:           http.HandlerFunc(l.receiver.Serve),
+		ConnContext:       l.receiver.ConnContext,
 		ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdleTimeout),
 		MaxHeaderBytes:    orDefault(limits.HeaderBytes, defaultHeaderBytes),
--- a/internal/receiver/caller_test.go
+++ b/internal/receiver/caller_test.go
@@ -40,6 +40,7 @@
 			<-gate
 			r.Serve(w, req)
 		}),
+		ConnContext: r.ConnContext,
 	}
 }
 
@@ -59,6 +60,35 @@
 	return conn.(*net.TCPConn)
 }
 
+// An instance that is late, after a pause or under load, reads requests whose callers
+// have given up and closed their connections. It must not pass them on.
+func TestRequestsOfCallersThatHaveLeftAreNotPassedOn(t *testing.T) {
+	for _, request := range []string{
+		"GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n",
+		"PUT / HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		var decided atomic.Int64
+		gate := make(chan struct{})
+		close(gate)
+		listener := listen(t)
+		const left = 200
+		for range left {
+			dial(t, listener, request).Close()
+		}
+		staying := dial(t, listener, request)
+		server := newCallerServer(&decided, gate)
+		go server.Serve(listener)
+		response := make([]byte, 12)
+		_, err := io.ReadFull(staying, response)
+		assert.NilError(t, err)
+		assert.Equal(t, string(response), "HTTP/1.1 503")
+		staying.Close()
+		time.Sleep(100 * time.Millisecond)
+		server.Close()
+		assert.Equal(t, decided.Load(), int64(1), "requests of callers that have left were decided on")
+	}
+}
+
 // A caller that closes its sending side is taken to have left. It must not get an empty
 // success in place of an answer.
 func TestHalfClosedCallerGetsNoFalseAnswer(t *testing.T) {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -53,6 +53,9 @@
 		r.refuseBody(w, err)
 		return
 	}
+	if callerLeft(req.Context()) {
+		r.abandon("callers.left_unread")
+	}
 	request.Body = body
 	switch e := r.Carrier.Serve(req.Context(), request, receivedAt).(type) {
 	case traffic.Deliver:
