Begin the wait for the others with the write of the own record

Found by reading: a lease that is renewed once more after its record was seen to be gone began the wait in which the others learn of this instance, before the record was written again; and an instance counted as listed by the record that it had read before. TestJoiningBeginsWithTheWriteOfTheRecord failed before ("joined by the renewal of a record that is gone").

Change: a renewal of an older write says nothing, and the own record has to be read again. Two tests share the set-up of their instances.

--- a/internal/steerer/belief_test.go
+++ b/internal/steerer/belief_test.go
@@ -96,6 +96,27 @@
 	}
 }
 
+// newMember returns one of a number of instances that all know each other, and one cold
+// server.
+func newMember(t *testing.T, index, instances int, p traffic.Policy) *testBench {
+	t.Helper()
+	b := newTestBench(t, fmt.Sprintf("front-%d", index), "a1")
+	cold := server("s1", "a1")
+	cold.Cold = time.Minute
+	b.handle(traffic.PolicySeen{Policy: p})
+	b.handle(traffic.UpstreamSeen{Upstream: cold})
+	b.handle(traffic.UpstreamsListed{IDs: map[string]bool{"s1": true}})
+	names := make(map[string]bool)
+	for i := range instances {
+		name := fmt.Sprintf("front-%d", i)
+		names[name] = true
+		b.handle(traffic.InstanceSeen{Instance: traffic.Instance{Name: name}})
+	}
+	b.handle(traffic.InstancesListed{Names: names})
+	b.join()
+	return b
+}
+
 // All instances together must not send more requests in one second to a cold server
 // than the bound, even if all of them have requests for it.
 func TestColdLimitIsShared(t *testing.T) {
@@ -103,20 +124,7 @@
 		t.Run(fmt.Sprint(instances), func(t *testing.T) {
 			sent := 0
 			for i := range instances {
-				b := newTestBench(t, fmt.Sprintf("front-%d", i), "a1")
-				cold := server("s1", "a1")
-				cold.Cold = 5 * time.Second
-				b.handle(traffic.PolicySeen{Policy: policy(1)})
-				b.handle(traffic.UpstreamSeen{Upstream: cold})
-				b.handle(traffic.UpstreamsListed{IDs: map[string]bool{"s1": true}})
-				names := make(map[string]bool)
-				for j := range instances {
-					name := fmt.Sprintf("front-%d", j)
-					names[name] = true
-					b.handle(traffic.InstanceSeen{Instance: traffic.Instance{Name: name}})
-				}
-				b.handle(traffic.InstancesListed{Names: names})
-				b.join()
+				b := newMember(t, i, instances, policy(1))
 				for k := range 50 {
 					_, effects := b.advance(10*time.Millisecond).request("/look/1", fmt.Sprint(k))
 					if send, ok := findEffect[traffic.Send](effects); ok {
@@ -249,22 +257,9 @@
 	const instances, bound = 10, 33 // ColdRate * ColdFactor + ColdSlack
 	var arrivals []time.Duration
 	for i := range instances {
-		b := newTestBench(t, fmt.Sprintf("front-%d", i), "a1")
 		p := policy(1)
 		p.Services["stock"] = traffic.Service{Name: "stock", ColdPeriod: time.Minute, ColdRate: 19}
-		cold := server("s1", "a1")
-		cold.Cold = time.Minute
-		b.handle(traffic.PolicySeen{Policy: p})
-		b.handle(traffic.UpstreamSeen{Upstream: cold})
-		b.handle(traffic.UpstreamsListed{IDs: map[string]bool{"s1": true}})
-		names := make(map[string]bool)
-		for j := range instances {
-			name := fmt.Sprintf("front-%d", j)
-			names[name] = true
-			b.handle(traffic.InstanceSeen{Instance: traffic.Instance{Name: name}})
-		}
-		b.handle(traffic.InstancesListed{Names: names})
-		b.join()
+		b := newMember(t, i, instances, p)
 		for at := time.Duration(0); at < 4*time.Second; at += 10 * time.Millisecond {
 			_, effects := b.advance(10*time.Millisecond).request("/look/1", fmt.Sprint(at))
 			send, ok := findEffect[traffic.Send](effects)
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -19,10 +19,12 @@
 	// until which they count.
 	departed map[string]departed
 	// ownRevision is that of the newest write of the own record, or zero while the store
-	// holds none. From joinedAt on every other instance knows of it, and until keptUntil
-	// its lease lasts at least.
-	ownRevision         int64
-	joinedAt, keptUntil time.Time
+	// holds none, and ownGoneAt the newest revision as of which it held none. ownListed is
+	// set once this instance has read the record. From joinedAt on every other instance
+	// knows of it, and until keptUntil its lease lasts at least.
+	ownRevision, ownGoneAt int64
+	ownListed              bool
+	joinedAt, keptUntil    time.Time
 	// storedSize is the number of instances that the store remembers, also when none is
 	// left, and sizePublishedAt when this instance last wrote it.
 	storedSize      int
@@ -102,6 +104,9 @@
 		s.recordStateChange("instance seen", attr("peer", i.Name), attr("incarnation", i.Incarnation), attr("leaving", i.Leaving))
 	}
 	s.instances.records[i.Name] = &member{Instance: i}
+	if i.Name == s.Self.Name && i.Incarnation == s.Self.Incarnation {
+		s.instances.ownListed = true
+	}
 	delete(s.instances.departed, i.Name)
 }
 
@@ -152,6 +157,9 @@
 // handleRecordKept handles a write of the own record or the renewal of its lease.
 func (s *Steerer) handleRecordKept(e traffic.RecordKept) {
 	m := &s.instances
+	if e.Revision <= m.ownGoneAt {
+		return
+	}
 	if m.ownRevision == 0 {
 		times := timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
 		m.joinedAt = s.now.Add(times.JoinDelay())
@@ -163,8 +171,8 @@
 // handleOwnRecordGone handles the absence of the own record as of a revision. Others may
 // divide bounds without this instance until the record is written again.
 func (s *Steerer) handleOwnRecordGone(revision int64) {
-	if revision >= s.instances.ownRevision {
-		s.instances.ownRevision = 0
+	if m := &s.instances; revision >= m.ownRevision {
+		m.ownRevision, m.ownGoneAt, m.ownListed = 0, revision, false
 	}
 	if s.stoppingSince.IsZero() {
 		s.emit(traffic.Reannounce{Revision: revision})
@@ -199,9 +207,7 @@
 // its own, and all others know of it.
 func (s *Steerer) joined() bool {
 	m := &s.instances
-	own := m.records[s.Self.Name]
-	listed := own != nil && own.Incarnation == s.Self.Incarnation
-	return listed && m.ownRevision > 0 && !s.now.Before(m.joinedAt)
+	return m.ownListed && m.ownRevision > 0 && !s.now.Before(m.joinedAt)
 }
 
 // counts reports whether the others count this instance when they divide bounds: it has
--- a/internal/steerer/restart_test.go
+++ b/internal/steerer/restart_test.go
@@ -299,9 +299,29 @@
 	// The record is gone and written again: others need the time to learn of it.
 	b.handle(traffic.InstanceGone{Name: b.Self.Name, Revision: 3})
 	b.handle(traffic.RecordKept{Revision: 4, Lasts: 5 * time.Second})
+	b.handle(traffic.InstanceSeen{Instance: b.Self})
 	_, effects = b.request("/look/1", "7")
 	assert.Equal(t, b.mustRefuse(effects).Reason, traffic.NoServer)
 	times := timekeeper.Timekeeper{Bounds: b.Settings.Bounds}
 	_, effects = b.advance(times.JoinDelay()).request("/look/1", "7")
 	b.endAttempt(b.mustSend(effects), successOutcome())
 }
+
+// The lease of a record that is gone may be renewed once more before the record is written
+// again. The wait for the others begins with the write, and this instance must have read
+// its own new record.
+func TestJoiningBeginsWithTheWriteOfTheRecord(t *testing.T) {
+	b := newReadyBench(t, server("s1", "a1"))
+	b.handle(traffic.Ticked{})
+	assert.Assert(t, b.hasShares())
+	b.handle(traffic.InstanceGone{Name: b.Self.Name, Revision: 5})
+	b.handle(traffic.RecordKept{Revision: 1, Lasts: time.Hour})
+	times := timekeeper.Timekeeper{Bounds: b.Settings.Bounds}
+	b.advance(times.JoinDelay()).handle(traffic.Ticked{})
+	assert.Assert(t, !b.hasShares(), "joined by the renewal of a record that is gone")
+	b.handle(traffic.RecordKept{Revision: 6, Lasts: time.Hour})
+	b.advance(times.JoinDelay()).handle(traffic.Ticked{})
+	assert.Assert(t, !b.hasShares(), "joined without having read the own record")
+	b.handle(traffic.InstanceSeen{Instance: b.Self})
+	assert.Assert(t, b.hasShares())
+}
