--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -296,10 +296,3 @@
 	out, err := command.CombinedOutput()
 	return string(out), err
 }
-
-// callResult is the answer that a caller received, or the error.
-// startLoad sends requests of one kind to an instance at a constant rate. The
-// returned function stops it and returns the results.
-// checkPeaks checks that no server ever had more concurrent requests than slots.
-// checkAnswers checks that each successful answer is complete and belongs to its
-// request, and counts the results by outcome and code.
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -14,6 +14,7 @@
 	"github.com/yuccathread/yuccathread/internal/model"
 )
 
+// callResult is the answer that a caller received, or the error.
 type callResult struct {
 	transportErr error
 	outcome      string
@@ -49,6 +50,8 @@
 	return result
 }
 
+// startLoad sends requests of one kind to an instance at a constant rate. The
+// returned function stops it and returns the results.
 func (f *fleet) startLoad(name, kind string, rate float64) (stop func() []callResult) {
 	var mutex sync.Mutex
 	var results []callResult
@@ -78,6 +81,7 @@
 	}
 }
 
+// checkPeaks checks that no server ever had more concurrent requests than slots.
 func (f *fleet) checkPeaks() {
 	f.t.Helper()
 	for i, s := range f.servers {
@@ -86,6 +90,8 @@
 	}
 }
 
+// checkAnswers checks that each successful answer is complete and belongs to its
+// request, and counts the results by outcome and code.
 func (f *fleet) checkAnswers(results []callResult) map[string]int {
 	f.t.Helper()
 	counts := make(map[string]int)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -221,7 +221,6 @@
 	}
 }
 
-// A connection that the server has closed while it was idle must not be reused.
 func TestUnreachableServerMeansNotRun(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -248,13 +247,3 @@
 	assert.Equal(t, o.Fate, traffic.Unknown)
 	<-closed
 }
-
-// fakeClock is the wall time plus an offset that the test sets.
-// If servers close idle connections sooner than they announce, connections are
-// reused only after shorter idle times; the limit grows back after a while.
-// expectConnections waits until a server has accepted a number of connections
-// and checks that no more follow.
-// A spare connection is opened along with the first request, and used by the
-// next request if the first connection is busy.
-// When this instance's share of a server's connections falls, since others have joined,
-// it closes the idle ones above it: the others count on that.
--- a/internal/forwarder/pool_test.go
+++ b/internal/forwarder/pool_test.go
@@ -23,6 +23,7 @@
 	assert.Equal(t, s.connections.Load(), int64(1))
 }
 
+// A connection that the server has closed while it was idle must not be reused.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	s := startServer(t, func(conn net.Conn, r *http.Request, _ int) bool {
 		respond(conn, r.Header.Get("X-Id"), "")
@@ -59,10 +60,13 @@
 	assert.Equal(t, s.connections.Load(), int64(4))
 }
 
+// fakeClock is the wall time plus an offset that the test sets.
 type fakeClock struct{ offset atomic.Int64 }
 
 func (c *fakeClock) Now() time.Time { return time.Now().Add(time.Duration(c.offset.Load())) }
 
+// If servers close idle connections sooner than they announce, connections are
+// reused only after shorter idle times; the limit grows back after a while.
 func TestIdleLimitAdaptsToClosedConnections(t *testing.T) {
 	closes := &atomic.Bool{}
 	closes.Store(true)
@@ -98,6 +102,8 @@
 	assert.Equal(t, s.connections.Load(), before)
 }
 
+// expectConnections waits until a server has accepted a number of connections
+// and checks that no more follow.
 func expectConnections(t *testing.T, s *fakeServer, connections int64) {
 	t.Helper()
 	for range 200 {
@@ -110,6 +116,8 @@
 	assert.Equal(t, s.connections.Load(), connections)
 }
 
+// A spare connection is opened along with the first request, and used by the
+// next request if the first connection is busy.
 func TestSpareConnections(t *testing.T) {
 	release := make(chan struct{})
 	s := startServer(t, func(conn net.Conn, r *http.Request, _ int) bool {
@@ -135,6 +143,8 @@
 	assert.Equal(t, (<-first).Fate, traffic.Ran)
 }
 
+// When this instance's share of a server's connections falls, since others have joined,
+// it closes the idle ones above it: the others count on that.
 func TestIdleConnectionsAboveALowerLimitAreClosed(t *testing.T) {
 	s := startServer(t, func(conn net.Conn, r *http.Request, _ int) bool {
 		time.Sleep(50 * time.Millisecond)
