Log when an instance gets and loses its shares

`bounds divided` was written when the numbers changed, so that the moment at which an instance joins, or its lease ends, was not in the log. TestDivisionIsLogged failed before (no line when shares come).

--- a/internal/steerer/eligibility.go
+++ b/internal/steerer/eligibility.go
@@ -29,7 +29,7 @@
 	return s.available(u) && s.limitAllows(u) && s.coldLimitAllows(u)
 }
 
-// available reports whether a server may get requests as far as its rate allows.
+// available reports whether a server may get requests at all, whatever their rate.
 func (s *Steerer) available(u *upstream) bool {
 	return !u.Draining && !u.misdirected && !s.evacuated[u.Domain] && !u.ejector.Ejected(s.now)
 }
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -29,8 +29,8 @@
 	// left, and sizePublishedAt when this instance last wrote it.
 	storedSize      int
 	sizePublishedAt time.Time
-	// recorded and recordedSize are the numbers in the newest log line about them.
-	recorded, recordedSize int
+	// recorded is the division in the newest log line about it.
+	recorded division
 }
 
 type member struct {
@@ -41,6 +41,13 @@
 	keepUntil time.Time
 }
 
+// division is how many instances are known, by how many this one divides bounds, and
+// whether it has its shares of them.
+type division struct {
+	instances, dividedBy int
+	hasShares            bool
+}
+
 type departed struct {
 	traffic.Instance
 	until time.Time
@@ -81,15 +88,16 @@
 	return max(len(m.records)+len(m.departed), 1)
 }
 
-// recordSize logs by how many instances bounds are divided, if that has changed.
-func (s *Steerer) recordSize() {
+// recordDivision logs how bounds are divided, if that has changed.
+func (s *Steerer) recordDivision() {
 	m := &s.instances
-	if len(m.records) == m.recorded && m.size() == m.recordedSize {
+	now := division{instances: len(m.records), dividedBy: m.size(), hasShares: s.hasShares()}
+	if now == m.recorded {
 		return
 	}
-	m.recorded, m.recordedSize = len(m.records), m.size()
-	s.recordStateChange("bounds divided", attr("instances", m.recorded), attr("divided_by", m.recordedSize),
-		attr("has_shares", s.hasShares()))
+	m.recorded = now
+	s.recordStateChange("bounds divided", attr("instances", now.instances), attr("divided_by", now.dividedBy),
+		attr("has_shares", now.hasShares))
 }
 
 // Division returns the number of known instances and the number by which bounds are
--- a/internal/steerer/restart_test.go
+++ b/internal/steerer/restart_test.go
@@ -325,3 +325,25 @@
 	b.handle(traffic.InstanceSeen{Instance: b.Self})
 	assert.Assert(t, b.hasShares())
 }
+
+// The log says how bounds are divided, and when an instance gets its shares and loses them.
+func TestDivisionIsLogged(t *testing.T) {
+	b := newStartedBench(t, server("s1", "a1"))
+	line := func() map[string]string {
+		values := make(map[string]string)
+		for key, value := range attributes(t, b.handle(traffic.Ticked{}), "bounds divided") {
+			values[key] = value.String()
+		}
+		return values
+	}
+	assert.DeepEqual(t, line(), map[string]string{"instances": "1", "divided_by": "1", "has_shares": "false"})
+	b.handle(traffic.InstanceSeen{Instance: traffic.Instance{Name: "front-2"}})
+	b.handle(traffic.RecordKept{Revision: 1, Lasts: time.Minute})
+	times := timekeeper.Timekeeper{Bounds: b.Settings.Bounds}
+	b.advance(times.JoinDelay())
+	assert.DeepEqual(t, line(), map[string]string{"instances": "2", "divided_by": "2", "has_shares": "true"})
+	b.handle(traffic.InstanceGone{Name: "front-2"})
+	assert.DeepEqual(t, line(), map[string]string{"instances": "1", "divided_by": "2", "has_shares": "true"})
+	b.advance(time.Minute)
+	assert.DeepEqual(t, line(), map[string]string{"instances": "1", "divided_by": "1", "has_shares": "false"})
+}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -12,8 +12,8 @@
 //	effects := s.Reduce(now, traffic.Arrived{Call: 1, Request: request, Read: now})
 //
 // There is one file per topic: admission, eligibility, placement, cached objects,
-// outcomes, retries, upstreams, regions, instances, log records, and the effects of
-// store outages and evacuations (belief.go). A Steerer is not safe for concurrent
+// outcomes, retries, upstreams, regions, limits of servers, instances, log records, and the
+// effects of store outages and evacuations (belief.go). A Steerer is not safe for concurrent
 // use, and the slice that Reduce returns is valid until the next call.
 package steerer
 
@@ -181,7 +181,7 @@
 	s.removeIdlePacers()
 	s.removeMissingInstances()
 	s.instances.expireDeparted(s.now)
-	s.recordSize()
+	s.recordDivision()
 	s.publishLimits()
 	s.publishSize()
 }
@@ -194,8 +194,7 @@
 }
 
 // Synced reports whether the policy, the servers and the instances are
-// known. Without the other instances, this one would take their shares of cold
-// servers, retries and connections.
+// known. Shares of bounds that all instances keep together come later (hasShares).
 func (s *Steerer) Synced() bool {
 	return s.policy != nil && s.upstreamsListed && s.instancesListed
 }
