Test that shares alone are logged

Now one step changes nothing but the shares; on the code before it fails (no line "bounds divided").

--- a/internal/steerer/restart_test.go
+++ b/internal/steerer/restart_test.go
@@ -337,10 +337,11 @@
 		return values
 	}
 	assert.DeepEqual(t, line(), map[string]string{"instances": "1", "divided_by": "1", "has_shares": "false"})
-	b.handle(traffic.InstanceSeen{Instance: traffic.Instance{Name: "front-2"}})
 	b.handle(traffic.RecordKept{Revision: 1, Lasts: time.Minute})
 	times := timekeeper.Timekeeper{Bounds: b.Settings.Bounds}
 	b.advance(times.JoinDelay())
+	assert.DeepEqual(t, line(), map[string]string{"instances": "1", "divided_by": "1", "has_shares": "true"})
+	b.handle(traffic.InstanceSeen{Instance: traffic.Instance{Name: "front-2"}})
 	assert.DeepEqual(t, line(), map[string]string{"instances": "2", "divided_by": "2", "has_shares": "true"})
 	b.handle(traffic.InstanceGone{Name: "front-2"})
 	assert.DeepEqual(t, line(), map[string]string{"instances": "1", "divided_by": "2", "has_shares": "true"})
