Read the change again: one hash of names, clearer names, no silent effect

The hash that orders instances stood in steerer and in apportioner; `counts` says now that it asks a question; the publisher reports an effect that it does not know; two comments are easier to read.

--- a/internal/apportioner/apportioner.go
+++ b/internal/apportioner/apportioner.go
@@ -78,12 +78,17 @@
 
 // rank returns the number of instances of a group that the hash puts before one.
 func (g *Group) rank(seed, name string) int {
-	own := xxhash.Sum64String(seed + "\x00" + name)
+	own := Hash(seed, name)
 	rank := 0
 	for _, other := range g.Names {
-		if other != name && xxhash.Sum64String(seed+"\x00"+other) < own {
+		if other != name && Hash(seed, other) < own {
 			rank++
 		}
 	}
 	return rank
 }
+
+// Hash returns the hash of an instance's name with a seed. All instances agree on it.
+func Hash(seed, name string) uint64 {
+	return xxhash.Sum64String(seed + "\x00" + name)
+}
--- a/internal/publisher/publisher.go
+++ b/internal/publisher/publisher.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -74,5 +75,5 @@
 	case traffic.PublishFleetSize:
 		return p.Store.WriteFleetSize(ctx, e.Instances)
 	}
-	return nil
+	return fmt.Errorf("publisher: %T is not an effect on the store", effect)
 }
--- a/internal/steerer/eligibility.go
+++ b/internal/steerer/eligibility.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/yuccathread/yuccathread/internal/apportioner"
 )
 
 // idempotentProbeWait is how long after the end of its ejection a half-open server
@@ -74,10 +76,10 @@
 // hashRank returns this instance's rank among all instances, ordered by the hash
 // of the server's and the instance's name.
 func (s *Steerer) hashRank(server string) int {
-	ownHash := hashOf(server, s.Self.Name)
+	ownHash := apportioner.Hash(server, s.Self.Name)
 	rank := 0
 	for i := range s.instances.all() {
-		if i.Name != s.Self.Name && hashOf(server, i.Name) < ownHash {
+		if i.Name != s.Self.Name && apportioner.Hash(server, i.Name) < ownHash {
 			rank++
 		}
 	}
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -218,9 +218,9 @@
 	return m.ownListed && m.ownRevision > 0 && !s.now.Before(m.joinedAt)
 }
 
-// counts reports whether the others count this instance when they divide bounds: it has
+// isCounted reports whether the others count this instance when they divide bounds: it has
 // joined them, and they have not forgotten it since its lease may have ended.
-func (s *Steerer) counts() bool {
+func (s *Steerer) isCounted() bool {
 	return s.joined() && s.now.Before(s.instances.keptUntil.Add(departedRetention))
 }
 
--- a/internal/steerer/limit.go
+++ b/internal/steerer/limit.go
@@ -154,7 +154,7 @@
 // limit of almost nothing still leaves one request now and then, without which nobody
 // would learn of its end.
 func (s *Steerer) limitShare(u *upstream) float64 {
-	if !u.limit.limited || !s.counts() {
+	if !u.limit.limited || !s.isCounted() {
 		return 0
 	}
 	lowest := float64(time.Second) / float64(max(s.Settings.Bounds.Reconnect.Duration, time.Second))
--- a/internal/steerer/placement.go
+++ b/internal/steerer/placement.go
@@ -79,9 +79,8 @@
 	return best
 }
 
-// noChoice explains why no server may get a call: all are at their limits, so that the
-// next of this instance's requests that one accepts tells when to come back, or none is
-// available.
+// noChoice explains why no server may get a call: all are at the limits that they name,
+// and the caller is told when the next request fits, or none is available.
 func (s *Steerer) noChoice(c *call) choice {
 	wait := time.Duration(math.MaxInt64)
 	for _, u := range s.service(c.service).servers {
--- a/internal/steerer/readers.go
+++ b/internal/steerer/readers.go
@@ -4,8 +4,7 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
+	"github.com/yuccathread/yuccathread/internal/apportioner"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -36,7 +35,7 @@
 		return traffic.Readers{}
 	}
 	slices.SortFunc(members, func(a, b traffic.Instance) int {
-		return cmp.Compare(hashOf("", a.Name), hashOf("", b.Name))
+		return cmp.Compare(apportioner.Hash("", a.Name), apportioner.Hash("", b.Name))
 	})
 	members = members[:max(minReaders, len(members)/instancesPerReader)]
 	if slices.ContainsFunc(members, func(i traffic.Instance) bool { return i.Name == s.Self.Name }) {
@@ -55,7 +54,7 @@
 // the hashes of their names with a seed.
 func sortNearFirst(instances []traffic.Instance, domain, seed string) {
 	slices.SortFunc(instances, func(a, b traffic.Instance) int {
-		return cmp.Or(cmp.Compare(distance(a, domain), distance(b, domain)), cmp.Compare(hashOf(seed, a.Name), hashOf(seed, b.Name)))
+		return cmp.Or(cmp.Compare(distance(a, domain), distance(b, domain)), cmp.Compare(apportioner.Hash(seed, a.Name), apportioner.Hash(seed, b.Name)))
 	})
 }
 
@@ -66,8 +65,3 @@
 	}
 	return 1
 }
-
-// hashOf returns the hash of an instance's name with a seed. All instances agree on it.
-func hashOf(seed, name string) uint64 {
-	return xxhash.Sum64String(seed + "\x00" + name)
-}
--- a/internal/steerer/region.go
+++ b/internal/steerer/region.go
@@ -54,8 +54,9 @@
 
 // targetShares returns the shares of a region's callers' objects that each region serves.
 // It keeps as many objects in the region as it has capacity for and divides the rest
-// among the other regions by the capacity that their own callers leave free. Every instance computes this on its own from the servers' records,
-// assuming that all regions' callers send the same load.
+// among the other regions by the capacity that their own callers leave free. Every
+// instance computes this on its own from the servers' records, assuming that all regions'
+// callers send the same load.
 func (s *Steerer) targetShares(home string, slots map[string]float64, total float64) map[string]float64 {
 	regions := float64(max(len(s.regions()), 1))
 	// capacity is the fraction of all callers' objects that a region can serve.
