--- a/internal/steerer/belief.go
+++ b/internal/steerer/belief.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -29,8 +28,7 @@
 		return
 	}
 	outage := s.now.Sub(s.store.lostAt)
-	times := timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
-	s.store = storeState{recordsDueAt: s.now.Add(times.LapsedRecordWait(e.SinceFailure))}
+	s.store = storeState{recordsDueAt: s.now.Add(s.times().LapsedRecordWait(e.SinceFailure))}
 	s.recordStateChange("store regained", attr("away_for", outage))
 }
 
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -4,7 +4,6 @@
 	"iter"
 	"time"
 
-	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -169,8 +168,7 @@
 		return
 	}
 	if m.ownRevision == 0 {
-		times := timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
-		m.joinedAt = s.now.Add(times.JoinDelay())
+		m.joinedAt = s.now.Add(s.times().JoinDelay())
 	}
 	m.ownRevision = max(m.ownRevision, e.Revision)
 	m.keptUntil = s.now.Add(e.Lasts)
@@ -200,11 +198,10 @@
 // store holds. One instance does so.
 func (s *Steerer) publishSize() {
 	m := &s.instances
-	times := timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
 	if m.size() == m.storedSize || !s.hasShares() || s.store.unavailable || s.hashRank("") > 0 {
 		return
 	}
-	if s.now.Sub(m.sizePublishedAt) < times.JoinDelay() {
+	if s.now.Sub(m.sizePublishedAt) < s.times().JoinDelay() {
 		return
 	}
 	m.sizePublishedAt = s.now
--- a/internal/steerer/limit.go
+++ b/internal/steerer/limit.go
@@ -9,7 +9,6 @@
 	"golang.org/x/time/rate"
 
 	"github.com/yuccathread/yuccathread/internal/apportioner"
-	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -219,10 +218,9 @@
 	if len(s.unpublishedLimits) == 0 || !s.joined() || s.store.unavailable {
 		return
 	}
-	times := timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
 	var limits []traffic.ServerLimit
 	for server, news := range s.unpublishedLimits {
-		if s.now.Sub(news.publishedAt) < times.JoinDelay() || s.now.Sub(news.since) < s.publishDelay(server) {
+		if s.now.Sub(news.publishedAt) < s.times().JoinDelay() || s.now.Sub(news.since) < s.publishDelay(server) {
 			continue
 		}
 		news.publishedAt = s.now
@@ -239,11 +237,10 @@
 // publishDelay returns how long this instance leaves the limit of a server to others. The
 // record of a server that is not known may be on its way.
 func (s *Steerer) publishDelay(server string) time.Duration {
-	times := timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
 	if u := s.upstreams[server]; u != nil {
-		return time.Duration(s.apportionerOf(u).Rank(server, s.Self.Name)) * times.JoinDelay()
+		return time.Duration(s.apportionerOf(u).Rank(server, s.Self.Name)) * s.times().JoinDelay()
 	}
-	return s.Settings.Bounds.Reconnect.Duration + time.Duration(s.hashRank(server))*times.JoinDelay()
+	return s.Settings.Bounds.Reconnect.Duration + time.Duration(s.hashRank(server))*s.times().JoinDelay()
 }
 
 // LimitedServers returns the number of servers with a limit.
--- a/internal/steerer/lookup.go
+++ b/internal/steerer/lookup.go
@@ -4,7 +4,6 @@
 	"slices"
 	"strings"
 
-	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -23,8 +22,7 @@
 		selected = []traffic.Instance{s.Self}
 	}
 	selected = chooseAddresses(selected, q.Domain)
-	times := timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
-	result := traffic.LookUpResult{Lifetime: times.LookUpLifetime()}
+	result := traffic.LookUpResult{Lifetime: s.times().LookUpLifetime()}
 	for _, i := range selected {
 		result.Addresses = append(result.Addresses, i.Address)
 	}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -24,6 +24,7 @@
 	"github.com/yuccathread/yuccathread/internal/measurer"
 	"github.com/yuccathread/yuccathread/internal/pacer"
 	"github.com/yuccathread/yuccathread/internal/splitter"
+	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -34,7 +35,6 @@
 	Settings traffic.Settings
 
 	now     time.Time
-	started time.Time
 	effects []traffic.Effect
 
 	policy    *traffic.Policy
@@ -78,7 +78,7 @@
 // Reduce applies an event to the state and returns the effects to carry out.
 func (s *Steerer) Reduce(now time.Time, e traffic.Event) []traffic.Effect {
 	if s.upstreams == nil {
-		s.initialize(now)
+		s.initialize()
 	}
 	s.now = now
 	s.effects = s.effects[:0]
@@ -86,8 +86,7 @@
 	return s.effects
 }
 
-func (s *Steerer) initialize(now time.Time) {
-	s.started = now
+func (s *Steerer) initialize() {
 	s.routes = make(map[string]*route)
 	s.services = make(map[string]*service)
 	s.upstreams = make(map[string]*upstream)
@@ -221,6 +220,11 @@
 	s.recordStateChange("stop requested", attr("in_flight", len(s.calls)))
 }
 
+// times returns the intervals that follow from the bounds in the settings.
+func (s *Steerer) times() *timekeeper.Timekeeper {
+	return &timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
+}
+
 func (s *Steerer) emit(x traffic.Effect) {
 	s.effects = append(s.effects, x)
 }
