Refuse what a stopping instance can't finish; keep its listener open meanwhile

Three times did not fit together. The listener was open for 52 % of the grace time, counted from the stop, whoever still had the address; other instances named it until they read of the stop (pause of 1.375 s) and callers use a result for three times its lifetime, so the address is in use until 4.4 s. The process ended at 93 %. And nothing asked whether a request that was read late would end before that. So requests were cut off, and after 3.12 s callers with a valid look-up found no listener.

Ruled out: an earlier end of the listener (callers with cached results are refused a connection) and a later exit (any fixed time is too short for a request that comes late enough).

The reducer decides at each send: within the work window (45 % of the grace time, 2.6 s at most) any request; later only one whose own limit ends before the process can no longer answer; and none that is expected to take longer than that. All others are refused at once as not run, to come back in 10 ms: another instance serves them. The listener stays open until no look-up can name the instance, counted from the moment at which the store has taken the news, and up to the exit if it never does. Pauses follow from the grace time too, so that others learn in time where it is short. A renewal that hangs no longer delays the news; ticks go on in a stop; responses to requests read before the stop close their connections; requests whose callers have left are waited for.

One bound of TestChainsEndWithinTheirBounds moved: that a third of the grace time is left is now said of the work window, not of the listener, since what comes after the window is no longer sent without a limit. In TestBoundsThatCannotBeKept the bounds of 30 s have a grace time of 60 s beside them, since with 3 s they can now be kept.

--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -64,8 +64,7 @@
 	Clock      clock.Clock
 	Logger     *slog.Logger
 	// Reload receives changed settings; it may be nil.
-	Reload <-chan traffic.Settings
-
+	Reload          <-chan traffic.Settings
 	times           timekeeper.Timekeeper
 	registry        metrics.Registry
 	forwarder       *forwarder.Forwarder
@@ -98,6 +97,7 @@
 		return err
 	}
 	l.carrier.Handle(traffic.ServingStarted{})
+	go l.tick(background)
 	l.Logger.Info("serving", "address", l.Settings.CallerAddress)
 	if err := l.loop(ctx, serveErrors); err != nil {
 		return err
@@ -203,18 +203,28 @@
 	go f.Run(ctx)
 }
 
-// loop passes ticks and changed settings to the reducer until the instance is
-// told to stop or a listener fails.
-func (l *Launcher) loop(ctx context.Context, serveErrors <-chan error) error {
+// tick passes ticks to the reducer until ctx ends, also while the instance stops.
+func (l *Launcher) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
 		select {
 		case <-ticker.C:
-			l.carrier.Handle(traffic.Ticked{})
-			if n%sweepTicks == 0 {
-				l.forwarder.Sweep()
-			}
+		case <-ctx.Done():
+			return
+		}
+		l.carrier.Handle(traffic.Ticked{})
+		if n%sweepTicks == 0 {
+			l.forwarder.Sweep()
+		}
+	}
+}
+
+// loop passes changed settings to the reducer until the instance is told to stop or a
+// listener fails.
+func (l *Launcher) loop(ctx context.Context, serveErrors <-chan error) error {
+	for {
+		select {
 		case s := <-l.Reload:
 			l.carrier.Handle(traffic.SettingsReloaded{Settings: s})
 			l.Logger.Info("settings reloaded")
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -43,9 +43,6 @@
 // Serve forwards a caller's request to an upstream server and writes the response.
 func (r *Receiver) Serve(w http.ResponseWriter, req *http.Request) {
 	receivedAt := r.Clock.Now()
-	if r.Stopping.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	request := r.Codec.DecodeRequest(req)
 	body, err := r.readBody(w, req, r.bodyLimit())
 	defer r.Bodies.Release(body)
@@ -121,6 +118,7 @@
 	for name, values := range reply.Header {
 		header[name] = values
 	}
+	r.closeIfStopping(header)
 	// A nil value keeps net/http from guessing a Content-Type that the server did not send.
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil
@@ -134,6 +132,14 @@
 	r.count("answers.delivered." + strconv.Itoa(reply.Status))
 }
 
+// closeIfStopping makes a response close its connection if this instance stops, also one to
+// a request that was read before.
+func (r *Receiver) closeIfStopping(header http.Header) {
+	if r.Stopping.Load() {
+		header.Set("Connection", "close")
+	}
+}
+
 // refusalStatuses holds the HTTP statuses of those reasons that always have the same one. For all
 // other reasons refuse derives the status from the reason and the fate of the request.
 var refusalStatuses = map[traffic.Refusal]int{
@@ -156,6 +162,7 @@
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	r.closeIfStopping(w.Header())
 	r.count("answers.own." + string(refusal.Reason))
 	http.Error(w, string(refusal.Reason), status)
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -5,7 +5,7 @@
 //
 //	r := &registrar.Registrar{Store: store, Instance: self, Logger: logger, Times: times}
 //	go r.Run(ctx)
-//	r.Leave()           // marks the record as leaving
+//	<-r.Leave()         // marks the record as leaving
 //	r.Reannounce(revision)   // writes the record again
 package registrar
 
@@ -34,7 +34,12 @@
 	once  sync.Once
 	wake  chan struct{}
 	mutex sync.Mutex
-	lease int64
+	// cancelCall ends the calls in progress.
+	cancelCall context.CancelFunc
+	// left is closed once the store holds the record as leaving.
+	left    chan struct{}
+	hasLeft bool
+	lease   int64
 	// leaseUntil is how long the lease lasts at least.
 	leaseUntil time.Time
 	failed     bool
@@ -49,7 +54,10 @@
 }
 
 func (r *Registrar) initWake() {
-	r.once.Do(func() { r.wake = make(chan struct{}, 1) })
+	r.once.Do(func() {
+		r.wake = make(chan struct{}, 1)
+		r.left = make(chan struct{})
+	})
 }
 
 // Run keeps the record until ctx ends.
@@ -57,11 +65,15 @@
 	r.initWake()
 	for ctx.Err() == nil {
 		interval := r.Times.RenewInterval()
-		if err := r.maintain(ctx); err != nil {
+		err := r.maintain(ctx)
+		switch {
+		case err == nil:
+			r.callSucceeded()
+		case errors.Is(err, context.Canceled):
+			// Leave has ended the call and woken this loop.
+		default:
 			interval = r.Times.LeaseRetryInterval()
 			r.callFailed(err)
-		} else {
-			r.callSucceeded()
 		}
 		timer := time.NewTimer(interval)
 		select {
@@ -85,13 +97,20 @@
 	}
 }
 
-// Leave marks the record as leaving.
-func (r *Registrar) Leave() {
+// Leave marks the record as leaving. The returned channel is closed once the store holds
+// it so.
+func (r *Registrar) Leave() <-chan struct{} {
+	r.initWake()
 	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	r.Instance.Leaving = true
 	r.version++
-	r.mutex.Unlock()
+	// A renewal that hangs must not delay the news.
+	if r.cancelCall != nil {
+		r.cancelCall()
+	}
 	r.wakeUp()
+	return r.left
 }
 
 func (r *Registrar) wakeUp() {
@@ -129,6 +148,7 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Times.LeaseCallTimeout())
 	defer cancel()
 	r.mutex.Lock()
+	r.cancelCall = cancel
 	lease, written, instance, version := r.lease, r.written(), r.Instance, r.version
 	r.mutex.Unlock()
 	// The store counts the time of a lease from the arrival of the call.
@@ -147,18 +167,27 @@
 		}
 		lease = granted
 		r.leaseUntil = until
+		r.mutex.Lock()
+		r.lease = lease
+		r.mutex.Unlock()
 	}
 	revision, err := r.Store.Announce(ctx, instance, lease)
-	r.mutex.Lock()
-	r.lease = lease
 	if err == nil {
-		r.writtenAt, r.writtenVersion = revision, version
+		r.recordWritten(instance, revision, version)
 	}
+	return r.endIfGone(err)
+}
+
+// recordWritten handles a write of the record in a version.
+func (r *Registrar) recordWritten(instance traffic.Instance, revision int64, version int) {
+	r.mutex.Lock()
+	r.writtenAt, r.writtenVersion = revision, version
 	r.mutex.Unlock()
-	if err == nil {
-		r.kept(r.leaseUntil)
+	r.kept(r.leaseUntil)
+	if instance.Leaving && !r.hasLeft {
+		r.hasLeft = true
+		close(r.left)
 	}
-	return r.endIfGone(err)
 }
 
 // kept reports that the store holds the record under a lease that lasts until a time.
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -29,6 +29,8 @@
 	writes      int
 	// duringRenewal, if set, is called once while a lease is renewed.
 	duringRenewal func()
+	// hangs makes renewals wait until their context ends.
+	hangs bool
 }
 
 var errUnavailable = errors.New("away")
@@ -44,11 +46,15 @@
 	return s.lease, nil
 }
 
-func (s *fakeStore) Renew(_ context.Context, lease int64) error {
+func (s *fakeStore) Renew(ctx context.Context, lease int64) error {
 	s.mutex.Lock()
-	duringRenewal := s.duringRenewal
+	duringRenewal, hangs := s.duringRenewal, s.hangs
 	s.duringRenewal = nil
 	s.mutex.Unlock()
+	if hangs {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if duringRenewal != nil {
 		duringRenewal()
 	}
@@ -110,6 +116,7 @@
 var times = timekeeper.Timekeeper{Bounds: traffic.Bounds{
 	Drain: model.Duration{Duration: 2 * time.Second}, Apply: model.Duration{Duration: 2 * time.Second},
 	Evacuation: model.Duration{Duration: 2 * time.Second}, Reconnect: model.Duration{Duration: 4500 * time.Millisecond},
+	Grace: model.Duration{Duration: 6 * time.Second},
 }}
 
 func TestRecordIsKept(t *testing.T) {
@@ -133,8 +140,7 @@
 		synctest.Wait()
 		assert.Assert(t, store.storedRecord() != nil, "the record was not written again")
 
-		r.Leave()
-		synctest.Wait()
+		<-r.Leave()
 		assert.Assert(t, store.storedRecord().Leaving)
 		r.Withdraw(ctx)
 		assert.Assert(t, store.storedRecord() == nil)
@@ -143,6 +149,25 @@
 	})
 }
 
+// Guards against a stop that the others learn of late, since a renewal of the lease hangs
+// at that moment.
+func TestLeaveDuringAHangingRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &fakeStore{hangs: true}
+		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler), Times: times}
+		go r.Run(ctx)
+		time.Sleep(times.RenewInterval() + time.Millisecond)
+		synctest.Wait()
+		started := time.Now()
+		<-r.Leave()
+		assert.Equal(t, time.Since(started), time.Duration(0))
+		assert.Assert(t, store.storedRecord().Leaving)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Kept says how long the lease lasts at least, and the revision of the newest write.
 func TestKeptRecordIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -163,6 +163,7 @@
 	d := func(n time.Duration) model.Duration { return model.Duration{Duration: n} }
 	return timekeeper.Timekeeper{Bounds: traffic.Bounds{
 		Drain: d(3 * time.Second), Apply: d(3 * time.Second), Evacuation: d(5 * time.Second), Reconnect: d(4 * time.Second),
+		Grace: d(6 * time.Second),
 	}}
 }
 
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -208,8 +208,10 @@
 	case c.mayHaveRun:
 		s.refuse(c, reason, traffic.Unknown, 0)
 	default:
-		remaining := c.deadline.Sub(s.now)
-		retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter, max(remaining/3, minRetryAfter))
+		if reason != traffic.Stopping {
+			remaining := c.deadline.Sub(s.now)
+			retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter, max(remaining/3, minRetryAfter))
+		}
 		s.refuse(c, reason, traffic.NotRun, retryAfter)
 	}
 }
--- a/internal/steerer/placement.go
+++ b/internal/steerer/placement.go
@@ -67,14 +67,16 @@
 	if !c.deadline.After(s.now) {
 		return choice{refusal: traffic.TooLate}
 	}
+	if !s.maySend(c) {
+		return choice{refusal: traffic.Stopping, retryAfter: stoppingRetryAfter}
+	}
 	found, preferred := s.candidates(c)
 	if len(found) == 0 {
 		return s.noChoice(c)
 	}
 	best := s.cheapest(c, found, preferred)
-	if best.server != nil && best.expected > c.deadline.Sub(s.now) && c.attempts == 0 && c.route.workTimes.reliable() {
-		best.server = nil
-		best.retryAfter = best.expected / 2
+	if best.server != nil && !s.expectedInTime(c, best.expected) && c.attempts == 0 && c.route.workTimes.reliable() {
+		return s.noServerInTime(c, best)
 	}
 	return best
 }
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -211,15 +211,6 @@
 	return len(s.calls)
 }
 
-func (s *Steerer) handleStopRequested() {
-	if !s.stoppingSince.IsZero() {
-		return
-	}
-	s.stoppingSince = s.now
-	s.Self.Leaving = true
-	s.recordStateChange("stop requested", attr("in_flight", len(s.calls)))
-}
-
 // times returns the intervals that follow from the bounds in the settings.
 func (s *Steerer) times() *timekeeper.Timekeeper {
 	return &timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -8,7 +8,8 @@
 //	left server:   probe of the store, retry delay, record wait       <= Reconnect
 //	new instance:  pause, call                                        <= JoinDelay
 //	dead instance: lease, pause, call                                 <= Reconnect + removalSlack
-//	stop:          look-up drain, requests in progress, exit margin   <= Grace
+//	stop, look-ups:    pause, call, cached results                    <= lookUpDrainPercent of Grace
+//	stop, requests:    work window or the request's own limit, exit margin  <= Grace
 //
 // A watch is deaf if it hears of no change although its connection is open.
 //
@@ -40,8 +41,15 @@
 	readerTimeoutPercent = 12
 	relayWaitPercent     = 14
 	relayTimeoutPercent  = 12
-	lookUpDrainPercent   = 52
 	exitMarginPercent    = 7
+	answerMarginPercent  = 3
+	workWindowPercent    = 45
+	// Look-ups must not name a stopping instance later than this part of the grace time,
+	// and the others must know of the stop within stopNewsPercent of it.
+	lookUpDrainPercent = 80
+	stopNewsPercent    = 55
+	stopCallPercent    = 4
+	cacheMarginPercent = 2
 )
 
 const (
@@ -63,8 +71,11 @@
 	maxLookUpLifetime = time.Second
 	// cacheFactor is how many times the lifetime of a result callers may use it.
 	cacheFactor = 3
-	// cacheMargin is added to the time for which callers may use a result.
-	cacheMargin = 200 * time.Millisecond
+	// maxCacheMargin is added to the time for which callers may use a result.
+	maxCacheMargin = 200 * time.Millisecond
+	// callerNotice is the time after a stop request within which callers can't know of the
+	// stop. Requests that they send later must not be cut off by it.
+	callerNotice = 3 * time.Second
 )
 
 // The shortest bounds that can be kept, given the duration of calls to a store and
@@ -88,9 +99,9 @@
 }
 
 // changeBound is the shortest time within which a change in the store must be in
-// force.
+// force, the stop of another instance included.
 func (k *Timekeeper) changeBound() time.Duration {
-	return min(k.Bounds.Drain.Duration, k.Bounds.Apply.Duration, k.Bounds.Evacuation.Duration)
+	return min(k.Bounds.Drain.Duration, k.Bounds.Apply.Duration, k.Bounds.Evacuation.Duration, k.ofGrace(stopNewsPercent))
 }
 
 // ReaderPause is the pause of an instance that follows the store for others too.
@@ -187,27 +198,54 @@
 
 // LookUpLifetime is how long a caller may cache the result of a look-up.
 func (k *Timekeeper) LookUpLifetime() time.Duration {
-	lifetime := min(maxLookUpLifetime, (k.lookUpDrainLimit()-cacheMargin)/cacheFactor)
+	cached := k.ofGrace(lookUpDrainPercent) - k.stopNews() - k.cacheMargin()
+	lifetime := min(maxLookUpLifetime, cached/cacheFactor)
 	if limit := k.Bounds.LookUpLifetime.Duration; limit > 0 {
 		lifetime = min(lifetime, limit)
 	}
 	return lifetime
 }
 
-// LookUpDrain is how long a stopping instance still accepts connections of callers
-// that have cached the result of a look-up.
+// LookUpDrain is how long after the store has taken the news of a stop callers may still
+// use the result of a look-up that names the stopping instance: others go on naming it
+// until they know, and callers cache what they were told.
 func (k *Timekeeper) LookUpDrain() time.Duration {
-	return cacheFactor*k.LookUpLifetime() + cacheMargin
+	return k.stopNews() + cacheFactor*k.LookUpLifetime() + k.cacheMargin()
 }
 
-func (k *Timekeeper) lookUpDrainLimit() time.Duration {
-	return k.Bounds.Grace.Duration * lookUpDrainPercent / 100
+// stopNews is how soon the others know of a stop that the store has taken.
+func (k *Timekeeper) stopNews() time.Duration {
+	return k.Pause() + min(callAllowance, k.ofGrace(stopCallPercent))
+}
+
+func (k *Timekeeper) cacheMargin() time.Duration {
+	return min(maxCacheMargin, k.ofGrace(cacheMarginPercent))
+}
+
+// WorkWindow is how long after a stop request requests are still sent to servers whatever
+// time they may take. What is sent later must end within AnswerLimit by its own limit.
+func (k *Timekeeper) WorkWindow() time.Duration {
+	return min(callerNotice-callAllowance, k.ofGrace(workWindowPercent))
+}
+
+// AnswerLimit is how long after a stop request a response can surely be delivered.
+func (k *Timekeeper) AnswerLimit() time.Duration {
+	return k.StopLimit() - k.ofGrace(answerMarginPercent)
+}
+
+// StopLimit is how long after a stop request the process ends at the latest.
+func (k *Timekeeper) StopLimit() time.Duration {
+	return k.Bounds.Grace.Duration - k.ExitMargin()
 }
 
 // ExitMargin is the part of the grace period that is kept for the exit of the
 // process.
 func (k *Timekeeper) ExitMargin() time.Duration {
-	return k.Bounds.Grace.Duration * exitMarginPercent / 100
+	return k.ofGrace(exitMarginPercent)
+}
+
+func (k *Timekeeper) ofGrace(percent time.Duration) time.Duration {
+	return k.Bounds.Grace.Duration * percent / 100
 }
 
 // Check returns a finding for each bound that is too short to be kept.
--- a/internal/timekeeper/timekeeper_test.go
+++ b/internal/timekeeper/timekeeper_test.go
@@ -55,10 +55,36 @@
 		}
 		assert.Assert(t, k.Lease()+k.Pause()+call < b.Reconnect.Duration+3*time.Second, "%+v", b)
 		assert.Assert(t, 2*(k.RenewInterval()+k.LeaseRetryInterval()) < k.Lease(), "%+v", b)
-		assert.Assert(t, k.LookUpDrain() >= 3*k.LookUpLifetime(), "%+v", b)
-		assert.Assert(t, k.LookUpDrain()+k.ExitMargin() < b.Grace.Duration*2/3, "%+v", b)
-		assert.Assert(t, k.LookUpLifetime() > 0)
-		assert.Assert(t, b.LookUpLifetime.Duration == 0 || k.LookUpLifetime() <= b.LookUpLifetime.Duration)
+	}
+}
+
+// Guards against look-ups that name an instance after its end, and against requests that
+// are sent so late in a stop that its end cuts them off.
+func TestStopEndsWithinTheGraceTime(t *testing.T) {
+	const call = 40 * time.Millisecond
+	for _, grace := range []float64{1, 1.5, 2, 3, 4, 6, 8, 10, 20, 30, 60} {
+		for _, lifetime := range []float64{0, 0.5, 1, 2, 5, 20, 60} {
+			for _, b := range grid() {
+				b.Grace, b.LookUpLifetime = seconds(grace), seconds(lifetime)
+				k := Timekeeper{Bounds: b}
+				assert.Assert(t, k.LookUpLifetime() > 0, "%+v", b)
+				assert.Assert(t, lifetime == 0 || k.LookUpLifetime() <= b.LookUpLifetime.Duration, "%+v", b)
+				// Another instance names this one until it reads of the stop, and callers use
+				// its result for three times as long as it says.
+				othersKnow := k.Pause() + call
+				assert.Assert(t, k.LookUpDrain() > othersKnow+3*k.LookUpLifetime(), "%+v", b)
+				assert.Assert(t, k.LookUpDrain() <= b.Grace.Duration*8/10, "%+v", b)
+				// A reader that is lost at the same time delays the news.
+				lostReader := k.ReaderPause() + k.ReaderWait() + k.ReaderTimeout() + k.RelayWait() + k.RelayTimeout()
+				assert.Assert(t, lostReader < b.Grace.Duration/2, "%+v", b)
+				// What is sent within the window has more than a third of the grace time.
+				assert.Assert(t, k.WorkWindow()+k.ExitMargin() < b.Grace.Duration*2/3, "%+v", b)
+				assert.Assert(t, k.WorkWindow() < 3*time.Second, "%+v", b)
+				assert.Assert(t, k.WorkWindow() < k.AnswerLimit() && k.AnswerLimit() < k.StopLimit() && k.StopLimit() < b.Grace.Duration, "%+v", b)
+				// Work that is cut off was given the grace time but for its last sixth.
+				assert.Assert(t, k.StopLimit() > b.Grace.Duration*5/6, "%+v", b)
+			}
+		}
 	}
 }
 
@@ -79,7 +105,7 @@
 		assert.Equal(t, findings[0].Field, field)
 	}
 	long := valid
-	long.Drain, long.Apply, long.Evacuation = seconds(30), seconds(30), seconds(30)
+	long.Drain, long.Apply, long.Evacuation, long.Grace = seconds(30), seconds(30), seconds(30), seconds(60)
 	findings := (&Timekeeper{Bounds: long}).Check()
 	assert.Equal(t, len(findings), 1, "a lease of no length: %v", findings)
 }
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -92,6 +92,7 @@
 	Overloaded  Refusal = "overloaded"
 	TooLate     Refusal = "too_late"
 	Interrupted Refusal = "interrupted"
+	Stopping    Refusal = "stopping"
 	TooLarge    Refusal = "too_large"
 	BadRequest  Refusal = "bad_request"
 )
