Withdraw the record of an instance that is stopped before it serves

A SIGTERM while an instance starts ended it with its record left in the store, so that look-ups elsewhere named it until its lease ended (6 s and more). Found on the way through all paths of a stop. The record is withdrawn on this path too. The lease is known as soon as it is granted, and after a withdrawal nothing is written any more: a write in progress, or a full read that misses the record, could bring it back.

--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -81,6 +81,7 @@
 		case err := <-serveErrors:
 			return nil, err
 		case <-ctx.Done():
+			l.withdraw()
 			l.Logger.Info("stopped before serving")
 			return nil, nil
 		}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -37,9 +37,11 @@
 	// cancelCall ends the calls in progress.
 	cancelCall context.CancelFunc
 	// left is closed once the store holds the record as leaving.
-	left    chan struct{}
-	hasLeft bool
-	lease   int64
+	left chan struct{}
+	// withdrawn is set once nothing may be written any more.
+	withdrawn bool
+	hasLeft   bool
+	lease     int64
 	// leaseUntil is how long the lease lasts at least.
 	leaseUntil time.Time
 	failed     bool
@@ -130,6 +132,7 @@
 // Withdraw ends the lease and so removes the record.
 func (r *Registrar) Withdraw(ctx context.Context) {
 	r.mutex.Lock()
+	r.withdrawn = true
 	lease := r.lease
 	r.mutex.Unlock()
 	if lease == 0 {
@@ -150,7 +153,11 @@
 	r.mutex.Lock()
 	r.cancelCall = cancel
 	lease, written, instance, version := r.lease, r.written(), r.Instance, r.version
+	withdrawn := r.withdrawn
 	r.mutex.Unlock()
+	if withdrawn {
+		return nil
+	}
 	// The store counts the time of a lease from the arrival of the call.
 	until := time.Now().Add(r.Times.Lease())
 	if lease != 0 && written {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -168,6 +168,25 @@
 	})
 }
 
+// Guards against a record that is written again by a call that was in progress when it was
+// withdrawn.
+func TestNothingIsWrittenAfterWithdraw(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &fakeStore{}
+		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler), Times: times}
+		go r.Run(ctx)
+		synctest.Wait()
+		r.Withdraw(ctx)
+		r.Reannounce(store.removeRecord())
+		time.Sleep(3 * times.Lease())
+		synctest.Wait()
+		assert.Assert(t, store.storedRecord() == nil)
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Kept says how long the lease lasts at least, and the revision of the newest write.
 func TestKeptRecordIsReported(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
