Count the suspension of a machine as part of a stop

The monotonic clock, and with it every timer, stands still while a machine is suspended; the grace time goes on. An instance suspended within its stop took that time for time that it still had, passed requests on and was killed with them. It now reads by how much the kernel's clock that counts suspensions has run ahead, tells the reducer and ends earlier.

A pause by a signal is not concerned: the monotonic clock counts it.

--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -64,7 +64,11 @@
 	Clock      clock.Clock
 	Logger     *slog.Logger
 	// Reload receives changed settings; it may be nil.
-	Reload          <-chan traffic.Settings
+	Reload <-chan traffic.Settings
+	// Suspended returns for how long the machine has been suspended since it was started;
+	// if it is nil, the kernel is asked.
+	Suspended func() (time.Duration, error)
+
 	times           timekeeper.Timekeeper
 	registry        metrics.Registry
 	forwarder       *forwarder.Forwarder
@@ -116,6 +120,9 @@
 		PeerAddress: s.PeerAddress,
 		Incarnation: strconv.FormatUint(rand.Uint64(), 36),
 	}
+	if l.Suspended == nil {
+		l.Suspended = machineSuspended
+	}
 	l.times = timekeeper.Timekeeper{Bounds: s.Bounds}
 	l.registry = metrics.NewRegistry()
 	l.frequentLimiter = rate.NewLimiter(rate.Limit(s.LogLines), max(s.LogLines, 1))
--- a/internal/launcher/shutdown.go
+++ b/internal/launcher/shutdown.go
@@ -15,6 +15,7 @@
 func (l *Launcher) shutDown(callerServer *http.Server) {
 	ctx, cancel := context.WithDeadline(context.Background(), l.Clock.Now().Add(l.times.StopLimit()))
 	defer cancel()
+	go l.watchSuspension(ctx, l.times.StopLimit(), cancel)
 	l.receiver.Stopping.Store(true)
 	l.carrier.Handle(traffic.StopRequested{})
 	left := l.registrar.Leave()
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -123,6 +123,8 @@
 		s.serving = true
 	case traffic.StopRequested:
 		s.handleStopRequested()
+	case traffic.Suspended:
+		s.handleSuspended(e.For)
 	default:
 		s.reduceStoreEvent(e)
 	}
--- a/internal/steerer/stopping.go
+++ b/internal/steerer/stopping.go
@@ -22,6 +22,16 @@
 		attr("work_window", s.times().WorkWindow()), attr("answer_limit", s.times().AnswerLimit()))
 }
 
+// handleSuspended counts the time for which the machine was suspended as part of a stop:
+// the grace time has gone on.
+func (s *Steerer) handleSuspended(period time.Duration) {
+	if s.stoppingSince.IsZero() {
+		return
+	}
+	s.stoppingSince = s.stoppingSince.Add(-period)
+	s.recordStateChange("machine was suspended within the stop", attr("for", period))
+}
+
 // maySend reports whether a call may be sent to a server as far as a stop is concerned:
 // early in it any call may, later only one that ends by its own deadline before the
 // process does. Another instance can still serve what is refused here; what is cut off at
--- a/internal/steerer/stopping_test.go
+++ b/internal/steerer/stopping_test.go
@@ -112,3 +112,13 @@
 	assert.Equal(t, refusal.Reason, traffic.Stopping)
 	b.mustSend(b.requestWithin("/look/1", 15*time.Second))
 }
+
+// Guards against an instance that takes the time for which its machine was suspended
+// within a stop for time that it still has.
+func TestSuspensionWithinAStop(t *testing.T) {
+	b := newStoppingBench(t, 6*time.Second, time.Second, server("s1", "a1"))
+	b.mustSend(b.requestWithin("/order/1", 15*time.Second))
+	b.handle(traffic.Suspended{For: 2500 * time.Millisecond})
+	assert.Equal(t, b.mustRefuse(b.requestWithin("/order/1", 15*time.Second)).Reason, traffic.Stopping)
+	b.mustSend(b.requestWithin("/order/1", time.Second))
+}
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -110,6 +110,9 @@
 // StopRequested starts a graceful shutdown.
 type StopRequested struct{}
 
+// Suspended reports that the machine was suspended, which the clock has not counted.
+type Suspended struct{ For time.Duration }
+
 // LookUpRequested asks which instances a caller should use.
 type LookUpRequested struct{ Query Query }
 
@@ -136,4 +139,5 @@
 func (SettingsReloaded) event()  {}
 func (ServingStarted) event()    {}
 func (StopRequested) event()     {}
+func (Suspended) event()         {}
 func (LookUpRequested) event()   {}
