Do not believe figures that can't be true

Reported by operators of similar systems: another writer left one odd entry among those of the servers. Entries that decode, but whose figures are absurd, were not:

- slots near the largest int: the server's region took the objects of all callers, as fast as the shift cap allows, and the server those of its region, also once it was ejected;
- cold_left of years: the longest report counted, so that a living server got next to nothing until its restart, though its next report said that it was not cold;
- load reports whose sum overflows: the server looked idle.
Expected times could overflow as well (on x86-64 to a negative time, the best of all).

A server whose record claims more slots than its service accepts connections gets no requests and no weight (a server works at one request of a connection at a time); the reducer logs it, and a new configuration or record decides anew. The newest record decides how long a server is cold; counted from its arrival it still ends late, never early. Sums of reports are floats, expected times are bounded.

--- a/internal/steerer/eligibility.go
+++ b/internal/steerer/eligibility.go
@@ -33,7 +33,7 @@
 
 // available reports whether a server may get requests at all, whatever their rate.
 func (s *Steerer) available(u *upstream) bool {
-	return !u.Draining && !u.misdirected && !s.evacuated[u.Domain] && !u.ejector.Ejected(s.now)
+	return !u.Draining && !u.misdirected && !u.implausible && !s.evacuated[u.Domain] && !u.ejector.Ejected(s.now)
 }
 
 func (s *Steerer) coldLimitAllows(u *upstream) bool {
--- a/internal/steerer/placement.go
+++ b/internal/steerer/placement.go
@@ -19,6 +19,8 @@
 	// failurePenalty is the time, in target latencies, added to the cost of a server
 	// whose failure rate is 1.
 	failurePenalty = 3
+	// maxExpected bounds expected times, so that sums of them do not overflow.
+	maxExpected = time.Hour
 )
 
 // serversPerObject is the number of servers among which an object's requests are
@@ -169,7 +171,7 @@
 	if waiting := load - float64(u.Slots) + 1; waiting > 0 {
 		work += waiting / float64(u.Slots) * float64(c.route.workTimes.mean(true)) * slowdown
 	}
-	return time.Duration(work) + s.roundTrip(u).Value()
+	return time.Duration(min(work, float64(maxExpected))) + s.roundTrip(u).Value()
 }
 
 // roundTrip returns the measured round-trip time to a server's failure domain.
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -244,6 +244,9 @@
 	s.routes = routes
 	policy := e.Policy
 	s.policy = &policy
+	for _, u := range s.upstreams {
+		s.checkPlausible(u)
+	}
 	s.recordStateChange("configuration in force", attr("version", policy.Version), attr("revision", e.Revision),
 		attr("routes", len(routes)))
 }
--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -31,6 +31,9 @@
 	// maxSlowdown bounds a sample of the slowdown, so that a single outlier has a
 	// limited effect.
 	maxSlowdown = 12
+	// maxPortConnections is the number of connections that one address can have to a
+	// server.
+	maxPortConnections = 1<<16 - 1
 )
 
 // service holds the servers and the statistics of one service.
@@ -75,6 +78,9 @@
 	// respondedAt is when this instance last got a response from the server.
 	respondedAt time.Time
 
+	// implausible is set while the record claims more slots than the configuration makes
+	// possible: another writer may have left it.
+	implausible bool
 	// missing is set while the store holds no record of the server. The server is
 	// removed at keepUntil unless the record returns.
 	missing   bool
@@ -101,22 +107,33 @@
 	u.Upstream = r
 	u.missing = false
 	u.misdirected = false
+	s.checkPlausible(u)
 	s.setCold(u, r.Cold)
 }
 
-// setCold marks a server as cold for the remaining time that its report states. The
-// time is counted from now, since the age of the report is unknown.
-func (s *Steerer) setCold(u *upstream, remaining time.Duration) {
-	if remaining <= 0 {
-		return
+// checkPlausible marks a server whose record can't be true. A server works at one request
+// of a connection at a time, so that it can't use more slots than connections.
+func (s *Steerer) checkPlausible(u *upstream) {
+	limit := maxPortConnections
+	if s.policy != nil && s.policy.Services[u.Service].MaxConnections > 0 {
+		limit = s.policy.Services[u.Service].MaxConnections
 	}
-	until := s.now.Add(remaining)
-	if !s.isCold(u) {
-		s.recordStateChange("server is cold", attr("server", u.ID), attr("left", remaining))
+	implausible := u.Slots > limit
+	if implausible != u.implausible {
+		s.recordStateChange("server record plausible", attr("server", u.ID), attr("plausible", !implausible),
+			attr("slots", u.Slots), attr("connections", limit), attr("revision", u.Revision))
 	}
-	if until.After(u.coldUntil) {
-		u.coldUntil = until
+	u.implausible = implausible
+}
+
+// setCold marks a server as cold for the remaining time that its newest report states: an
+// earlier one may have been another writer's. The time is counted from now, since the age
+// of the report is unknown.
+func (s *Steerer) setCold(u *upstream, remaining time.Duration) {
+	if remaining > 0 && !s.isCold(u) {
+		s.recordStateChange("server is cold", attr("server", u.ID), attr("left", remaining))
 	}
+	u.coldUntil = s.now.Add(remaining)
 }
 
 func (s *Steerer) addUpstream(r traffic.Upstream) *upstream {
@@ -226,7 +243,7 @@
 	if !u.load.Known {
 		return float64(u.inFlight)
 	}
-	others := float64(max(0, u.load.Running+u.load.Waiting-u.ownLoad))
+	others := max(0, float64(u.load.Running)+float64(u.load.Waiting)-float64(u.ownLoad))
 	age := s.now.Sub(u.loadAt)
 	return float64(u.inFlight) + others*math.Exp(-float64(age)/float64(loadDecay))
 }
