Answer requests meant for a server as misdirected

The address in a record may be that of an instance: a record of another writer, or an address that was used again. The instance passed such requests on as if they were a caller's, to the same record, and they went round until their time was over. Like any other process that is not the expected server, an instance now answers 421 and says that the request has not run, so that the sender uses another server.

TestRecordWithTheAddressOfAnInstance (502 in place of 503, after going round) and TestRequestMeantForAServerIsMisdirected failed before.

--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -11,6 +11,7 @@
 
 import (
 	"errors"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -58,6 +59,9 @@
 	case traffic.Deliver:
 		r.deliver(w, e.Reply)
 	case traffic.Refuse:
+		if e.Reason == traffic.Misdirected {
+			maps.Copy(w.Header(), r.Codec.MisdirectedHeader(request))
+		}
 		r.refuse(w, e)
 	default:
 		r.abandon("callers.left")
@@ -143,9 +147,10 @@
 // refusalStatuses holds the HTTP statuses of those reasons that always have the same one. For all
 // other reasons refuse derives the status from the reason and the fate of the request.
 var refusalStatuses = map[traffic.Refusal]int{
-	traffic.NoRoute:    http.StatusNotFound,
-	traffic.TooLarge:   http.StatusRequestEntityTooLarge,
-	traffic.BadRequest: http.StatusBadRequest,
+	traffic.NoRoute:     http.StatusNotFound,
+	traffic.TooLarge:    http.StatusRequestEntityTooLarge,
+	traffic.BadRequest:  http.StatusBadRequest,
+	traffic.Misdirected: http.StatusMisdirectedRequest,
 }
 
 func (r *Receiver) refuse(w http.ResponseWriter, refusal traffic.Refuse) {
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -85,6 +85,10 @@
 
 func (s *Steerer) handleArrived(e traffic.Arrived) {
 	c := &call{number: e.Call, request: e.Request, readAt: e.Read}
+	if e.Request.Server != "" {
+		s.refuse(c, traffic.Misdirected, traffic.NotRun, 0)
+		return
+	}
 	if !s.Synced() {
 		s.refuse(c, traffic.NoPolicy, traffic.NotRun, defaultRetryAfter)
 		return
--- a/internal/traffic/boundary.go
+++ b/internal/traffic/boundary.go
@@ -59,6 +59,9 @@
 	RequestHeader(r Request, upstream Upstream, remaining time.Duration) http.Header
 	// DecodeReply decodes a server's response without its body.
 	DecodeReply(r *http.Response) Reply
+	// MisdirectedHeader returns the header of the response to a request that is meant for
+	// a server: it says that the request has not run.
+	MisdirectedHeader(r Request) http.Header
 	// DecodeQuery decodes a look-up.
 	DecodeQuery(r *http.Request) Query
 	// EncodeLookUp encodes the result of a look-up.
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -21,6 +21,8 @@
 	Limit  time.Duration
 	Header http.Header
 	Body   []byte
+	// Server is the server that the request is meant for; it is empty for those of callers.
+	Server string
 }
 
 // Reply is a server's complete response.
@@ -93,6 +95,7 @@
 	TooLate     Refusal = "too_late"
 	Interrupted Refusal = "interrupted"
 	Stopping    Refusal = "stopping"
+	Misdirected Refusal = "misdirected"
 	TooLarge    Refusal = "too_large"
 	BadRequest  Refusal = "bad_request"
 )
