Believe no refusal that can't belong to its request

Reported by operators of similar systems: a server wrote an earlier refusal once more on a kept connection, and requests that had run were told as not run. Responses are matched by the request's ID, so that a refusal of an earlier request is skipped, also while the next one runs, before it is written, after an interim response or three times (TestRepeatedRefusal, passed before too; a second attempt goes to another server and so to another connection).

- requests without an ID: an earlier refusal can't be told from theirs.
Their connections are not used again (TestRepeatedRefusalWithoutAnID: 2 connections for 3 requests before);

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -113,7 +113,8 @@
 		return f.failedOutcome(err, idle)
 	}
 	f.reportUndecoded(reply)
-	if c.reusable(reply) {
+	// Without an ID, a response can't be told from one that the server repeats.
+	if request.ID != "" && c.reusable(reply) {
 		f.put(c)
 	} else {
 		c.close()
