Read the path of a request as it is sent

Cause: the decoded path selected the route, a safe one below the unsafe one of the bytes that were forwarded. Ruled out: a second write by the forwarder or a repeated route look-up; the log of the second attempt names the safe route.

The path as sent selects the route, and a request may be repeated only if the routes of all other readings of it allow that (escaped once or more often, dot and empty segments, backslash, parameters, fragment).

--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -32,7 +32,9 @@
 	number  uint64
 	request traffic.Request
 	route   *route
-	service string
+	// idempotent is set if the request may be sent to a second server after it may have run.
+	idempotent bool
+	service    string
 	// readAt is when the first byte of the request was read.
 	readAt time.Time
 	// deadline is when the final response is due.
@@ -93,11 +95,16 @@
 		s.refuse(c, traffic.NoPolicy, traffic.NotRun, defaultRetryAfter)
 		return
 	}
-	c.route = s.match(e.Request.Host, e.Request.Path)
+	if e.Request.Ambiguous != "" {
+		s.refuse(c, traffic.BadRequest, traffic.NotRun, 0)
+		return
+	}
+	c.route = s.match(e.Request.HostName, e.Request.Path)
 	if c.route == nil {
 		s.refuse(c, traffic.NoRoute, traffic.NotRun, 0)
 		return
 	}
+	c.idempotent = s.isIdempotent(c)
 	c.deadline = finalDeadline(c)
 	c.tried = make(map[string]bool)
 	c.service = c.route.Shares[max(c.route.splitter.Next(c.route.weights), 0)].Service
@@ -107,6 +114,20 @@
 	s.dispatch(c)
 }
 
+// isIdempotent reports whether a call may be repeated: its route must allow it, and so must
+// the routes of all other paths that its server may read from the same bytes.
+func (s *Steerer) isIdempotent(c *call) bool {
+	if !c.route.Idempotent {
+		return false
+	}
+	for _, path := range c.request.OtherPaths {
+		if r := s.match(c.request.HostName, path); r == nil || !r.Idempotent {
+			return false
+		}
+	}
+	return true
+}
+
 // finalDeadline returns when a call's final response is due: at the end of the
 // route's timeout or responseMargin before the end of the caller's own limit,
 // whichever comes first.
@@ -153,7 +174,7 @@
 		Connections: s.connectionLimit(u),
 		Spare:       s.spareCount(c, u),
 		Deadline:    c.deadline,
-		Idempotent:  c.route.Idempotent,
+		Idempotent:  c.idempotent,
 	})
 	s.emit(traffic.StartOverdueTimer{Call: c.number, Attempt: c.attempts, After: overdueAfter(choice.expected)})
 }
--- a/internal/steerer/eligibility.go
+++ b/internal/steerer/eligibility.go
@@ -47,7 +47,7 @@
 	if !u.ejector.HalfOpen(s.now) || c.tried[u.ID] {
 		return true
 	}
-	return u.inFlight == 0 && (c.route.Idempotent || s.now.Sub(u.ejector.Returned()) > idempotentProbeWait)
+	return u.inFlight == 0 && (c.idempotent || s.now.Sub(u.ejector.Returned()) > idempotentProbeWait)
 }
 
 func regionAllowed(regions []string, region string) bool {
--- a/internal/steerer/fleet_test.go
+++ b/internal/steerer/fleet_test.go
@@ -214,7 +214,7 @@
 	f.calls[id] = c
 	number := b.lastCall
 	f.deliver(b, traffic.Arrived{Call: number, Read: f.now, Request: traffic.Request{
-		ID: id, Host: "shop.example", Path: c.kind.path, Object: c.object, Limit: c.kind.deadline,
+		ID: id, Host: "shop.example", HostName: "shop.example", Path: c.kind.path, Object: c.object, Limit: c.kind.deadline,
 	}})
 }
 
--- a/internal/steerer/misdirected_test.go
+++ b/internal/steerer/misdirected_test.go
@@ -14,7 +14,7 @@
 func TestRequestMeantForAServerIsMisdirected(t *testing.T) {
 	b := newReadyBench(t, server("s1", "a1"))
 	refusal := b.mustRefuse(b.handle(traffic.Arrived{Call: 1, Read: b.now, Request: traffic.Request{
-		ID: "1", Host: "shop.example", Path: "/look/1", Limit: time.Second, Server: "odd",
+		ID: "1", Host: "shop.example", HostName: "shop.example", Path: "/look/1", Limit: time.Second, Server: "odd",
 	}}))
 	assert.Equal(t, refusal.Reason, traffic.Misdirected)
 	assert.Equal(t, refusal.Fate, traffic.NotRun)
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -136,7 +136,7 @@
 func (s *Steerer) handleRan(c *call, reply traffic.Reply) {
 	c.received++
 	c.executions++
-	if reply.Status >= http.StatusInternalServerError && c.route.Idempotent {
+	if reply.Status >= http.StatusInternalServerError && c.idempotent {
 		c.fallback = &reply
 		s.retry(c, true, traffic.Interrupted)
 		return
@@ -177,7 +177,7 @@
 	c.executions++
 	c.mayHaveRun = true
 	s.recordUnknown(c, o)
-	if !c.route.Idempotent {
+	if !c.idempotent {
 		s.giveUp(c, traffic.Interrupted, 0)
 		return
 	}
@@ -221,7 +221,7 @@
 		return
 	}
 	s.recordCallerLeft(c)
-	if !c.route.Idempotent && len(c.pending) > 0 {
+	if !c.idempotent && len(c.pending) > 0 {
 		c.answered = true
 		return
 	}
--- a/internal/steerer/retry.go
+++ b/internal/steerer/retry.go
@@ -61,7 +61,7 @@
 	if ratio := float64(waited) / float64(max(a.expected, time.Millisecond)); ratio > s.slowdownOf(a.server) {
 		s.updateSlowdown(a.server, ratio)
 	}
-	if !c.route.Idempotent || len(c.pending) > 1 {
+	if !c.idempotent || len(c.pending) > 1 {
 		return
 	}
 	choice := s.place(c)
--- a/internal/steerer/stopping_test.go
+++ b/internal/steerer/stopping_test.go
@@ -14,7 +14,7 @@
 func (b *testBench) requestWithin(path string, limit time.Duration) []traffic.Effect {
 	b.lastCall++
 	return b.handle(traffic.Arrived{Call: b.lastCall, Read: b.now, Request: traffic.Request{
-		ID: "late", Host: "shop.example", Path: path, Object: "7", Limit: limit,
+		ID: "late", Host: "shop.example", HostName: "shop.example", Path: path, Object: "7", Limit: limit,
 	}})
 }
 
--- a/internal/steerer/world_test.go
+++ b/internal/steerer/world_test.go
@@ -115,7 +115,7 @@
 func (b *testBench) request(path, object string) (uint64, []traffic.Effect) {
 	b.lastCall++
 	return b.lastCall, b.handle(traffic.Arrived{Call: b.lastCall, Read: b.now, Request: traffic.Request{
-		ID: fmt.Sprint(b.lastCall), Host: "shop.example", Path: path, Object: object, Limit: 4 * time.Second,
+		ID: fmt.Sprint(b.lastCall), Host: "shop.example", HostName: "shop.example", Path: path, Object: object, Limit: 4 * time.Second,
 	}})
 }
 
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -10,11 +10,17 @@
 	// ID is the caller's request ID, which is forwarded unchanged.
 	ID     string
 	Method string
-	Host   string
-	// Path is the decoded path without the query. It selects the route.
+	// Host is the host as the caller sent it, and HostName the same without a port.
+	Host     string
+	HostName string
+	// Path is the path as the caller sent it, without the query. It selects the route.
 	Path string
-	// Target is the request target exactly as the caller sent it.
+	// OtherPaths are the paths that servers may read from the same bytes.
+	OtherPaths []string
+	// Target is the path with the query as the caller sent them.
 	Target string
+	// Ambiguous names a header that has several different values where there must be one.
+	Ambiguous string
 	// Object identifies the object that the request concerns. It may be empty.
 	Object string
 	// Limit is how long the caller waits, or zero if unknown.
