Do not answer OPTIONS * with a success of our own

net/http answers OPTIONS * itself, with 200 and no body: a success that no server has given. Found while going through the forms of request targets. It goes to the handler now, which knows no route for it. The row "asterisk" of TestRequestsAreReadAsTheyAreSent failed before.

--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -90,12 +90,14 @@
 
 func (l *Launcher) newCallerServer(limits traffic.Limits) *http.Server {
 	return &http.Server{
-		Handler:           http.HandlerFunc(l.receiver.Serve),
-		ConnContext:       l.receiver.ConnContext,
-		ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
-		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdleTimeout),
-		MaxHeaderBytes:    orDefault(limits.HeaderBytes, defaultHeaderBytes),
-		ErrorLog:          slog.NewLogLogger(l.Logger.Handler(), slog.LevelDebug),
+		Handler: http.HandlerFunc(l.receiver.Serve),
+		// A success that no server has given must not be sent, also not to OPTIONS *.
+		DisableGeneralOptionsHandler: true,
+		ConnContext:                  l.receiver.ConnContext,
+		ReadHeaderTimeout:            orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
+		IdleTimeout:                  orDefault(limits.IdleTimeout, defaultIdleTimeout),
+		MaxHeaderBytes:               orDefault(limits.HeaderBytes, defaultHeaderBytes),
+		ErrorLog:                     slog.NewLogLogger(l.Logger.Handler(), slog.LevelDebug),
 	}
 }
 
