End a stop without a configuration; say what a stop waited for

Cause: handleTicked returned before checkStop while there was no policy. Ruled out by the tests: the store, the list and the servers, whose absence alone changes nothing once there is a configuration.

Change: the stop is checked on every tick. The last log line of a process has waited_for. SIGTERM and SIGINT are caught before the settings are read.

TestStopFromEmptyStates of the reducer failed before, and six of the seven states of that of e2e ("the process has not ended" after 15 s; the seventh has a configuration).

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -86,6 +86,9 @@
 
 	stdout io.Writer
 	stderr io.Writer
+
+	// stopRequested is done once SIGINT or SIGTERM has come; later ones change nothing.
+	stopRequested context.Context
 }
 
 // Run executes a command line and returns its exit code.
@@ -119,6 +122,10 @@
 }
 
 func (c *command) run() int {
+	// A signal ends the process until it is caught, so this comes before all else.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	c.stopRequested = ctx
 	switch {
 	case c.version:
 		fmt.Fprintln(c.stdout, versioner.Versioner{Program: "yuccathread"})
@@ -179,9 +186,7 @@
 // runUntilSignal calls run with a context that SIGINT and SIGTERM cancel, and
 // returns the exit code.
 func (c *command) runUntilSignal(run func(context.Context) error) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	if err := run(ctx); err != nil {
+	if err := run(c.stopRequested); err != nil {
 		return c.fail(err)
 	}
 	return exitOK
--- a/internal/launcher/shutdown.go
+++ b/internal/launcher/shutdown.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -9,6 +10,13 @@
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
+// What a graceful stop waited for last.
+const (
+	waitedForStore    = "store"
+	waitedForLookUps  = "look_ups"
+	waitedForRequests = "requests"
+)
+
 // shutDown stops gracefully. Look-ups stop returning this instance, but callers may use
 // older results for a while: until then it accepts connections, and refuses the requests
 // that it can't finish. Then connections are refused, and the requests in progress finish.
@@ -18,29 +26,31 @@
 	go l.watchSuspension(ctx, l.times.StopLimit(), cancel)
 	l.receiver.Stopping.Store(true)
 	l.carrier.Handle(traffic.StopRequested{})
-	left := l.registrar.Leave()
-	l.awaitLookUps(ctx, left)
-	err := callerServer.Shutdown(ctx)
+	waitedFor := l.awaitLookUps(ctx, l.registrar.Leave())
+	if l.inFlight() > 0 {
+		waitedFor = waitedForRequests
+	}
+	// It fails only at the end of ctx, when what is left is counted.
+	_ = callerServer.Shutdown(ctx)
 	l.awaitAttempts(ctx)
 	unfinished := l.inFlight()
 	l.withdraw()
 	l.forwarder.Close()
+	level := slog.LevelInfo
 	if unfinished > 0 {
-		l.Logger.Warn("stopped", "cut_off", unfinished, "error", errorText(err))
-		return
+		level = slog.LevelWarn
 	}
-	l.Logger.Info("stopped", "cut_off", unfinished)
+	l.Logger.Log(context.Background(), level, "stopped", "cut_off", unfinished, "waited_for", waitedFor)
 }
 
 // awaitLookUps waits until no caller can have the result of a look-up that names this
-// instance, at most until the end of ctx. left is closed when the store has taken the news
-// of the stop.
-func (l *Launcher) awaitLookUps(ctx context.Context, left <-chan struct{}) {
+// instance, at most until the end of ctx, and returns what it waited for. left is closed
+// when the store has taken the news of the stop.
+func (l *Launcher) awaitLookUps(ctx context.Context, left <-chan struct{}) string {
 	select {
 	case <-left:
 	case <-ctx.Done():
-		l.Logger.Warn("stopped before the store knows of it")
-		return
+		return waitedForStore
 	}
 	timer := time.NewTimer(l.times.LookUpDrain())
 	defer timer.Stop()
@@ -48,6 +58,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return waitedForLookUps
 }
 
 // awaitAttempts waits for attempts whose callers have left, at most until the end of ctx:
@@ -75,10 +86,3 @@
 	defer cancel()
 	l.registrar.Withdraw(ctx)
 }
-
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/internal/message/effect.go
+++ b/internal/message/effect.go
@@ -147,9 +147,23 @@
 // Exit ends the process. InFlight is the number of requests that the stop limit
 // cuts off.
 type Exit struct {
-	InFlight int
+	InFlight  int
+	WaitedFor WaitedFor
 }
 
+// WaitedFor is what a graceful shutdown waited for last.
+type WaitedFor string
+
+// What a graceful shutdown waits for.
+const (
+	// WaitedForLookUps means that callers might still have had results of look-ups.
+	WaitedForLookUps WaitedFor = "look_ups"
+	// WaitedForRequests means that requests were in progress after that.
+	WaitedForRequests WaitedFor = "requests"
+	// WaitedForLimit means that the time limit ended the wait.
+	WaitedForLimit WaitedFor = "limit"
+)
+
 func (Dispatch) effect()           {}
 func (Forward) effect()            {}
 func (CancelAttempt) effect()      {}
--- a/internal/reducer/schedule.go
+++ b/internal/reducer/schedule.go
@@ -46,6 +46,7 @@
 	}
 	r.pollPlatform()
 	if r.policy == nil {
+		r.checkStop()
 		return
 	}
 	if r.due(&s.load, loadInterval) {
--- a/internal/reducer/stopping.go
+++ b/internal/reducer/stopping.go
@@ -15,7 +15,10 @@
 	active     bool
 	since      time.Time
 	refuseFrom time.Time
-	done       bool
+	// waitedForRequests is set once requests were left when no look-up named the instance
+	// any more.
+	waitedForRequests bool
+	done              bool
 }
 
 // refusesWork reports whether the instance is stopping and cached look-up
@@ -50,11 +53,20 @@
 		return
 	}
 	timedOut := r.now.Sub(r.stopping.since) >= r.StopLimit
-	idle := r.stopping.refusesWork(r.now) && len(r.pending) == 0
+	refusesWork := r.stopping.refusesWork(r.now)
+	idle := refusesWork && len(r.pending) == 0
 	if !idle && !timedOut {
+		r.stopping.waitedForRequests = r.stopping.waitedForRequests || refusesWork
 		return
 	}
 	r.stopping.done = true
+	waitedFor := message.WaitedForLookUps
+	switch {
+	case !idle:
+		waitedFor = message.WaitedForLimit
+	case r.stopping.waitedForRequests:
+		waitedFor = message.WaitedForRequests
+	}
 	r.record("stopped", "", r.Self.Name, "", "took="+r.now.Sub(r.stopping.since).String())
-	r.emit(message.Exit{InFlight: len(r.pending)})
+	r.emit(message.Exit{InFlight: len(r.pending), WaitedFor: waitedFor})
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -212,7 +212,7 @@
 			stop = nil
 			r.engine.Handle(message.StopRequested{})
 		case e := <-r.exited:
-			r.Logger.Info("stopped", "cut_off", e.InFlight)
+			r.Logger.Info("stopped", "cut_off", e.InFlight, "waited_for", string(e.WaitedFor))
 			return nil
 		case err := <-serveErrors:
 			return err
