Refuse work with several different keys, IDs or deadlines

The own interface took the first of several values, so that work could run under another key than the one its caller goes by. Its routes are by kind, which is not part of what a server gets, so that escaped paths can't misroute there. Several keys leave the outcome unknown: an earlier request may have run with one of them.

--- a/internal/answerer/work.go
+++ b/internal/answerer/work.go
@@ -8,6 +8,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -33,6 +34,10 @@
 
 // handleWork handles work from a caller.
 func (a *Answerer) handleWork(w http.ResponseWriter, r *http.Request) {
+	if name, outcome := ambiguousHeader(r.Header); name != "" {
+		writeProblem(w, newProblem(http.StatusBadRequest, string(model.CodeBadRequest), outcome, name+" has several different values"))
+		return
+	}
 	id := r.Header.Get(model.HeaderRequestID)
 	if len(id) > maxIDBytes || len(r.Header.Get(model.HeaderKey)) > maxIDBytes {
 		// No key of this length was ever accepted, so the work cannot have run.
@@ -50,6 +55,22 @@
 	a.serveWork(w, r, request, false)
 }
 
+// ambiguousHeader returns the name of a header that has several different values where
+// there must be one, and the outcome to report: an earlier request may have run with one of
+// several keys.
+func ambiguousHeader(h http.Header) (string, model.Outcome) {
+	for _, name := range []string{model.HeaderKey, model.HeaderRequestID, model.HeaderDeadlineMS} {
+		if len(slices.Compact(slices.Clone(h.Values(name)))) < 2 {
+			continue
+		}
+		if h.Get(model.HeaderKey) != "" {
+			return name, model.Unknown
+		}
+		return name, model.NotRun
+	}
+	return "", ""
+}
+
 // handlePeerWork handles work that another instance forwards.
 func (a *Answerer) handlePeerWork(w http.ResponseWriter, r *http.Request) {
 	var request model.Request
