Heed servers that say that they leave or want a pause

Neither Server-Leaving nor Retry-After of a server's 503 was read, so that a server that leaves got requests until the store said so (DRAIN), and one that wants nothing for a while got its usual share (BUDGET).

What a process says of itself is kept by ID and start, beside its record: through a lapse and return of the record, an older "ready" in the store, outages and reloads, until another process has the ID. A leaving server has no weight in its region, as a draining one; one that wants a pause counts as room of its region, as an ejected one, so that shares do not move for a pause. The longest of several pauses holds; what can't be read (dates, words, negative) is counted. If all servers want a pause, callers are told when the first one ends, spread by up to half of it. One function says why a server may get nothing.

Tests: TestServerThatSaysItLeavesGetsNothing (10 things that the store and operators do meanwhile, three kinds of response), TestServerThatWantsAPauseGetsNothing and TestAllServersWantAPause failed without the reading of responses; TestNoticesAreDecoded is of fields that did not exist.

Not done: telling other instances. Each learns by a response of its own.

--- a/internal/steerer/eligibility.go
+++ b/internal/steerer/eligibility.go
@@ -11,6 +11,9 @@
 // gets only idempotent requests.
 const idempotentProbeWait = 3 * time.Second
 
+// obstaclePause is the obstacle of a server that wants a pause.
+const obstaclePause = "pause"
+
 // eligible returns the servers that may get a call, including those that it has
 // already tried, with their scores for the call's object.
 func (s *Steerer) eligible(c *call) []candidate {
@@ -33,7 +36,28 @@
 
 // available reports whether a server may get requests at all, whatever their rate.
 func (s *Steerer) available(u *upstream) bool {
-	return !u.Draining && !u.misdirected && !u.implausible && !s.evacuated[u.Domain] && !u.ejector.Ejected(s.now)
+	return s.obstacle(u) == ""
+}
+
+// obstacle returns why a server may get no requests, or an empty string if it may.
+func (s *Steerer) obstacle(u *upstream) string {
+	switch {
+	case u.Draining:
+		return "draining"
+	case u.notice.leaving:
+		return "leaving"
+	case u.misdirected:
+		return "misdirected"
+	case u.implausible:
+		return "implausible"
+	case s.evacuated[u.Domain]:
+		return "evacuated"
+	case u.ejector.Ejected(s.now):
+		return "ejected"
+	case s.isPaused(u):
+		return obstaclePause
+	}
+	return ""
 }
 
 func (s *Steerer) coldLimitAllows(u *upstream) bool {
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -64,6 +64,7 @@
 	}
 	s.updateLoad(u, o.Reply.Load)
 	s.observeLimit(u, o.Reply)
+	s.observeNotice(u, o.Reply)
 	s.roundTrip(u).Observe(o.Connected)
 	cancelled := c.answered || c.expired
 	switch {
--- a/internal/steerer/placement.go
+++ b/internal/steerer/placement.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/apportioner"
 	"github.com/yuccathread/yuccathread/internal/measurer"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
@@ -83,16 +84,16 @@
 	return best
 }
 
-// noChoice explains why no server may get a call: all are at the limits that they name,
-// and the caller is told when the next request fits, or none is available.
+// noChoice explains why no server may get a call: all are at the limits that they name or
+// want a pause, and the caller is told when the next request fits, or none is available.
 func (s *Steerer) noChoice(c *call) choice {
 	wait := time.Duration(math.MaxInt64)
 	for _, u := range s.service(c.service).servers {
-		if !s.available(u) || !regionAllowed(c.route.HomeRegions, u.region) || c.tried[u.ID] {
+		if !regionAllowed(c.route.HomeRegions, u.region) || c.tried[u.ID] {
 			continue
 		}
-		if limitWait, limited := s.limitWait(u); limited {
-			wait = min(wait, limitWait)
+		if serverWait, waits := s.waitFor(c, u); waits {
+			wait = min(wait, serverWait)
 		}
 	}
 	if wait == math.MaxInt64 {
@@ -101,6 +102,25 @@
 	return choice{refusal: traffic.Overloaded, retryAfter: wait}
 }
 
+// waitFor returns the time until a server may get a call. waits is false if that is not a
+// matter of time.
+func (s *Steerer) waitFor(c *call, u *upstream) (wait time.Duration, waits bool) {
+	switch s.obstacle(u) {
+	case obstaclePause:
+		return spread(u.notice.pausedUntil.Sub(s.now), c.request.ID), true
+	case "":
+		return s.limitWait(u)
+	}
+	return 0, false
+}
+
+// spread returns a wait that is up to half as long again, so that callers that are refused
+// together do not come back together.
+func spread(wait time.Duration, seed string) time.Duration {
+	const steps = 1 << 10
+	return wait + wait/2*time.Duration(apportioner.Hash("", seed)%steps)/steps
+}
+
 // candidates returns the servers to compare for a call, and the object's preferred
 // server, which has the lowest score and is expected to have the object in its
 // cache. Other servers are expected to have it only if this instance has sent them
--- a/internal/steerer/region.go
+++ b/internal/steerer/region.go
@@ -39,12 +39,12 @@
 	return perSlot
 }
 
-// regionSlots returns the number of slots per region and in total, without draining
-// and evacuated servers and those whose records can't be true.
+// regionSlots returns the number of slots per region and in total, without draining,
+// leaving and evacuated servers and those whose records can't be true.
 func (s *Steerer) regionSlots(svc *service) (slots map[string]float64, total float64) {
 	slots = make(map[string]float64)
 	for _, u := range svc.servers {
-		if !u.Draining && !u.implausible && !s.evacuated[u.Domain] {
+		if !u.Draining && !u.notice.leaving && !u.implausible && !s.evacuated[u.Domain] {
 			slots[u.region] += float64(u.Slots)
 			total += float64(u.Slots)
 		}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -43,8 +43,10 @@
 	upstreams map[string]*upstream
 	// formerPacers holds the pacers of removed servers, whose records may return.
 	formerPacers map[process]*pacer.Pacer
-	evacuated    map[string]bool
-	store        storeState
+	// notices holds what servers' processes have said of themselves.
+	notices   map[process]*notice
+	evacuated map[string]bool
+	store     storeState
 	// upstreamsListed and instancesListed are set by the first full read of the store.
 	upstreamsListed bool
 	instancesListed bool
@@ -91,6 +93,7 @@
 	s.services = make(map[string]*service)
 	s.upstreams = make(map[string]*upstream)
 	s.formerPacers = make(map[process]*pacer.Pacer)
+	s.notices = make(map[process]*notice)
 	s.evacuated = make(map[string]bool)
 	s.coldDomains = make(map[string]time.Time)
 	s.calls = make(map[uint64]*call)
@@ -180,6 +183,7 @@
 func (s *Steerer) tick() {
 	s.removeMissingUpstreams()
 	s.removeIdlePacers()
+	s.expireNotices()
 	s.removeMissingInstances()
 	s.instances.expireDeparted(s.now)
 	s.recordDivision()
--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -64,6 +64,7 @@
 
 	coldUntil time.Time
 	pacer     *pacer.Pacer
+	notice    *notice
 	ejector   ejector.Ejector
 	limit     rateLimit
 	objects   recentObjects
@@ -139,6 +140,7 @@
 func (s *Steerer) addUpstream(r traffic.Upstream) *upstream {
 	u := &upstream{Upstream: r, region: s.Settings.Domains[r.Domain], slowdown: 1}
 	u.pacer = s.takePacer(r)
+	u.notice = s.noticeOf(r)
 	u.ejector = ejector.Ejector{Failures: ejectFailures, Period: ejectPeriod}
 	s.upstreams[r.ID] = u
 	svc := s.service(r.Service)
@@ -180,6 +182,7 @@
 func (s *Steerer) removeUpstream(u *upstream, reason string) {
 	delete(s.upstreams, u.ID)
 	s.formerPacers[process{server: u.ID, started: u.Started}] = u.pacer
+	u.notice.goneAt = s.now
 	svc := s.service(u.Service)
 	kept := svc.servers[:0]
 	for _, other := range svc.servers {
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -44,8 +44,13 @@
 	NotRun bool
 	// Misdirected is set if a server other than the expected one responded.
 	Misdirected bool
-	Load        Load
-	Limit       Limit
+	// Leaving is set if the server says that it leaves.
+	Leaving bool
+	// Pause is how long the server wants no requests of this instance, if it has refused
+	// this one.
+	Pause time.Duration
+	Load  Load
+	Limit Limit
 	// CloseConnection is set if the server closes the connection after the response.
 	CloseConnection bool
 	// IdleTimeout is how long the server keeps the idle connection, or zero if unknown.
