--- a/internal/steerer/notice.go
+++ b/internal/steerer/notice.go
@@ -7,11 +7,9 @@
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
-const (
-	// noticeRetention is how long what a process has said of itself is kept after its
-	// record has gone: it may serve for many seconds more, and its record may return.
-	noticeRetention = 10 * time.Minute
-)
+// noticeRetention is how long what a process has said of itself is kept after its record
+// has gone: it may serve for many seconds more, and its record may return.
+const noticeRetention = 10 * time.Minute
 
 // notice is what a server's process has said of itself in its responses. It holds until
 // the process ends, whatever the store says of the server meanwhile.
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -8,8 +8,8 @@
 //	left server:   probe of the store, retry delay, record wait       <= Reconnect
 //	new instance:  pause, call                                        <= JoinDelay
 //	dead instance: lease, pause, call                                 <= Reconnect + removalSlack
-//	stop, look-ups:    pause, call, cached results                    <= lookUpDrainPercent of Grace
-//	stop, requests:    work window or the request's own limit, exit margin  <= Grace
+//	stop:          pause, call, cached results of look-ups            <= lookUpDrainPercent of Grace
+//	late request:  its own limit, answer margin, exit margin          <= Grace
 //
 // A watch is deaf if it hears of no change although its connection is open.
 //
