--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -119,12 +119,22 @@
 	Grace: model.Duration{Duration: 6 * time.Second},
 }}
 
-func TestRecordIsKept(t *testing.T) {
+// runRegistrar runs a test beside a registrar, with time of its own.
+func runRegistrar(t *testing.T, store *fakeStore, test func(t *testing.T, r *Registrar)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		store := &fakeStore{}
 		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler), Times: times}
 		go r.Run(ctx)
+		test(t, r)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestRecordIsKept(t *testing.T) {
+	store := &fakeStore{}
+	runRegistrar(t, store, func(t *testing.T, r *Registrar) {
 		synctest.Wait()
 		assert.Equal(t, store.storedRecord().Name, "front-1")
 		time.Sleep(20 * time.Second)
@@ -142,48 +152,35 @@
 
 		<-r.Leave()
 		assert.Assert(t, store.storedRecord().Leaving)
-		r.Withdraw(ctx)
+		r.Withdraw(t.Context())
 		assert.Assert(t, store.storedRecord() == nil)
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // Guards against a stop that the others learn of late, since a renewal of the lease hangs
 // at that moment.
 func TestLeaveDuringAHangingRenewal(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		store := &fakeStore{hangs: true}
-		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler), Times: times}
-		go r.Run(ctx)
+	store := &fakeStore{hangs: true}
+	runRegistrar(t, store, func(t *testing.T, r *Registrar) {
 		time.Sleep(times.RenewInterval() + time.Millisecond)
 		synctest.Wait()
 		started := time.Now()
 		<-r.Leave()
 		assert.Equal(t, time.Since(started), time.Duration(0))
 		assert.Assert(t, store.storedRecord().Leaving)
-		cancel()
-		synctest.Wait()
 	})
 }
 
-// Guards against a record that is written again by a call that was in progress when it was
-// withdrawn.
+// Guards against a record that is written again after it was withdrawn.
 func TestNothingIsWrittenAfterWithdraw(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		store := &fakeStore{}
-		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler), Times: times}
-		go r.Run(ctx)
+	store := &fakeStore{}
+	runRegistrar(t, store, func(t *testing.T, r *Registrar) {
 		synctest.Wait()
-		r.Withdraw(ctx)
+		r.Withdraw(t.Context())
 		r.Reannounce(store.removeRecord())
 		time.Sleep(3 * times.Lease())
 		synctest.Wait()
 		assert.Assert(t, store.storedRecord() == nil)
-		cancel()
-		synctest.Wait()
 	})
 }
 
@@ -220,11 +217,8 @@
 }
 
 func TestStoreUnavailableAtTheStart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		store := &fakeStore{unavailable: true}
-		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler), Times: times}
-		go r.Run(ctx)
+	store := &fakeStore{unavailable: true}
+	runRegistrar(t, store, func(t *testing.T, _ *Registrar) {
 		time.Sleep(5 * time.Second)
 		store.mutex.Lock()
 		store.unavailable = false
@@ -232,19 +226,14 @@
 		time.Sleep(2 * times.LeaseRetryInterval())
 		synctest.Wait()
 		assert.Assert(t, store.storedRecord() != nil)
-		cancel()
-		synctest.Wait()
 	})
 }
 
 // Reannounce may be called while the lease is being renewed; the record must
 // still be written again.
 func TestReannounceDuringARenewal(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		store := &fakeStore{}
-		r := &Registrar{Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler), Times: times}
-		go r.Run(ctx)
+	store := &fakeStore{}
+	runRegistrar(t, store, func(t *testing.T, r *Registrar) {
 		synctest.Wait()
 		store.mutex.Lock()
 		store.duringRenewal = func() {
@@ -254,8 +243,6 @@
 		time.Sleep(3 * times.RenewInterval())
 		synctest.Wait()
 		assert.Assert(t, store.storedRecord() != nil, "the record was not written again")
-		cancel()
-		synctest.Wait()
 	})
 }
 
