Lock what a test of the registrar shares with its goroutine

go test -race found the reports of TestKeptRecordIsReported read and appended to without a lock; the review had seen it too. The registrar itself is not concerned.

--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -189,28 +190,39 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		store := &fakeStore{}
-		var kept []traffic.RecordKept
+		var mutex sync.Mutex
+		var all []traffic.RecordKept
+		kept := func(from int) []traffic.RecordKept {
+			mutex.Lock()
+			defer mutex.Unlock()
+			return slices.Clone(all[from:])
+		}
 		r := &Registrar{
 			Store: store, Instance: traffic.Instance{Name: "front-1"}, Logger: slog.New(slog.DiscardHandler), Times: times,
-			Kept: func(e traffic.RecordKept) { kept = append(kept, e) },
+			Kept: func(e traffic.RecordKept) {
+				mutex.Lock()
+				defer mutex.Unlock()
+				all = append(all, e)
+			},
 		}
 		go r.Run(ctx)
 		synctest.Wait()
-		assert.DeepEqual(t, kept, []traffic.RecordKept{{Revision: 1, Lasts: times.Lease()}})
+		assert.DeepEqual(t, kept(0), []traffic.RecordKept{{Revision: 1, Lasts: times.Lease()}})
 		time.Sleep(times.RenewInterval())
 		synctest.Wait()
-		assert.DeepEqual(t, kept[1:], []traffic.RecordKept{{Revision: 1, Lasts: times.Lease()}})
+		assert.DeepEqual(t, kept(1), []traffic.RecordKept{{Revision: 1, Lasts: times.Lease()}})
 
 		time.Sleep(times.RenewInterval() / 2)
 		r.Reannounce(store.removeRecord())
 		synctest.Wait()
 		// The write does not renew the lease.
-		assert.DeepEqual(t, kept[2:], []traffic.RecordKept{{Revision: 3, Lasts: times.Lease() - times.RenewInterval()/2}})
+		assert.DeepEqual(t, kept(2), []traffic.RecordKept{{Revision: 3, Lasts: times.Lease() - times.RenewInterval()/2}})
 
 		store.endLease()
 		time.Sleep(times.Lease())
 		synctest.Wait()
-		assert.Equal(t, kept[len(kept)-1].Revision, int64(4))
+		reports := kept(0)
+		assert.Equal(t, reports[len(reports)-1].Revision, int64(4))
 		cancel()
 		synctest.Wait()
 	})
