Keep notices only of processes that have said something

Read again as a newcomer: each tick went over a notice for every server, and each request cost an error for a host without a port and a copy of the values of its ID. Behaviour is the same; the tests of hold unchanged. The cost was not measured.

--- a/internal/interpreter/interpreter.go
+++ b/internal/interpreter/interpreter.go
@@ -120,8 +120,10 @@
 // HostName returns the host without a port and a final dot.
 func (i *Interpreter) HostName() string {
 	name := i.Host
-	if host, _, err := net.SplitHostPort(name); err == nil {
-		name = host
+	if strings.Contains(name, ":") {
+		if host, _, err := net.SplitHostPort(name); err == nil {
+			name = host
+		}
 	}
 	return strings.TrimSuffix(name, ".")
 }
--- a/internal/steerer/notice.go
+++ b/internal/steerer/notice.go
@@ -25,16 +25,19 @@
 // noticeOf returns the notice of a server's process: the former one if its record has
 // only been away.
 func (s *Steerer) noticeOf(r traffic.Upstream) *notice {
-	key := process{server: r.ID, started: r.Started}
-	n := s.notices[key]
+	n := s.notices[process{server: r.ID, started: r.Started}]
 	if n == nil {
-		n = &notice{}
-		s.notices[key] = n
+		return &notice{}
 	}
 	n.goneAt = time.Time{}
 	return n
 }
 
+// keepNotice keeps the notice of a server's process beyond its record.
+func (s *Steerer) keepNotice(u *upstream) {
+	s.notices[process{server: u.ID, started: u.Started}] = u.notice
+}
+
 // expireNotices forgets what processes have said that are gone for good.
 func (s *Steerer) expireNotices() {
 	for key, n := range s.notices {
@@ -56,6 +59,7 @@
 	}
 	if reply.Leaving && !u.notice.leaving {
 		u.notice.leaving = true
+		s.keepNotice(u)
 		s.recordStateChange("server says that it leaves", attr("server", u.ID), attr("in_flight", u.inFlight))
 	}
 	if reply.Status != http.StatusServiceUnavailable || reply.Pause <= 0 {
@@ -67,6 +71,7 @@
 	}
 	if until.After(u.notice.pausedUntil) {
 		u.notice.pausedUntil = until
+		s.keepNotice(u)
 	}
 }
 
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -43,7 +43,8 @@
 	upstreams map[string]*upstream
 	// formerPacers holds the pacers of removed servers, whose records may return.
 	formerPacers map[process]*pacer.Pacer
-	// notices holds what servers' processes have said of themselves.
+	// notices holds what servers' processes have said of themselves, of those that have
+	// said something.
 	notices   map[process]*notice
 	evacuated map[string]bool
 	store     storeState
