Log where changes of the store come from, and how late

"changes applied" for batches of 100 or more and for those with news that has a bound, "source of changes" when the source changes, "reader left out" with its reason. Each is bounded by the calls that an instance makes. No logic changes.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -43,6 +43,11 @@
 	// failedCallAt is when the last call that failed was started.
 	failedCallAt time.Time
 	probeCount   int
+	// upToDateAt is when the last call that succeeded was started: what has changed since
+	// may not be known.
+	upToDateAt time.Time
+	// source is where the last changes came from.
+	source string
 }
 
 // Run follows the store until ctx ends.
@@ -63,7 +68,7 @@
 			f.storeFailed(err)
 			sleep(ctx, jitter(f.Times.RetryDelay()))
 		default:
-			f.apply(changes)
+			f.applyAndReport(changes, started)
 			if f.synced && !changes.More && len(changes.Events) > 0 {
 				sleep(ctx, f.pause())
 			}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -156,6 +156,7 @@
 		Readers: l.readers,
 		Times:   l.times,
 		Clock:   l.Clock,
+		Logger:  l.Logger,
 		Relayed: metrics.GetOrRegisterCounter("changes.relayed", l.registry),
 		Direct:  metrics.GetOrRegisterCounter("changes.direct", l.registry),
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"encoding/gob"
+	"log/slog"
 	"net/http"
 	"sync"
 	"time"
@@ -48,6 +49,7 @@
 	Readers func() traffic.Readers
 	Times   timekeeper.Timekeeper
 	Clock   clock.Clock
+	Logger  *slog.Logger
 	// Relayed and Direct count the calls of either kind.
 	Relayed metrics.Counter
 	Direct  metrics.Counter
@@ -151,11 +153,11 @@
 		switch {
 		case err != nil:
 			// The record of a reader that has ended is gone after the time of a lease.
-			r.suspect(address, r.Times.Lease())
+			r.suspect(address, r.Times.Lease(), err.Error())
 		case !reply.Available:
-			r.suspect(address, r.Times.RelayWait())
+			r.suspect(address, r.Times.RelayWait(), "does not have the changes")
 		default:
-			return traffic.Changes{Events: reply.Events, Revision: max(after, reply.Revision)}, true
+			return traffic.Changes{Events: reply.Events, Revision: max(after, reply.Revision), Source: address}, true
 		}
 	}
 	return traffic.Changes{}, false
@@ -262,7 +264,8 @@
 }
 
 // suspect leaves out a reader for a while.
-func (r *Relayer) suspect(address string, period time.Duration) {
+func (r *Relayer) suspect(address string, period time.Duration, reason string) {
+	r.Logger.Info("reader left out", "address", address, "reason", reason, "period_ms", period.Milliseconds())
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.suspectUntil == nil {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -188,7 +188,7 @@
 	}
 	for i, x := range d.instances {
 		x.relayer = &Relayer{
-			Store: x.client, Call: d.call, Times: d.times, Clock: clock.System(),
+			Store: x.client, Call: d.call, Times: d.times, Clock: clock.System(), Logger: slog.New(slog.DiscardHandler),
 			Readers: func() traffic.Readers {
 				if i < readers {
 					return traffic.Readers{Own: true}
--- a/internal/traffic/boundary.go
+++ b/internal/traffic/boundary.go
@@ -25,6 +25,9 @@
 	More bool
 	// Rejected holds an error for each record that could not be decoded.
 	Rejected []error
+	// Source is the address of the instance that passed the changes on, or empty if they
+	// come from the store.
+	Source string
 }
 
 // Store is the platform's store. The stall timeout of a call bounds the time
--- a/internal/traffic/relay.go
+++ b/internal/traffic/relay.go
@@ -12,6 +12,20 @@
 	Addresses []string
 }
 
+// IsUrgent reports whether an event forbids what was allowed before, so that instances
+// must know of it within a bound.
+func IsUrgent(e Event) bool {
+	switch e := e.(type) {
+	case PolicySeen, EvacuationSeen, UpstreamGone:
+		return true
+	case UpstreamSeen:
+		return e.Upstream.Draining
+	case InstanceSeen:
+		return e.Instance.Leaving
+	}
+	return false
+}
+
 // ChangesQuery asks another instance for changes of the store.
 type ChangesQuery struct {
 	// After is the revision up to which the asking instance knows the store.
