--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -27,12 +27,17 @@
 
 var errCut = errors.New("no response")
 
+// maxPage is the largest number of changes in one response of a history.
+const maxPage = 500
+
 // history is a store whose changes are versions of the policy, each with the revision
-// of the same number.
+// of the same number, and records of servers.
 type history struct {
 	traffic.Store
 	mutex    sync.Mutex
 	revision int64
+	// servers holds the revisions that changed the record of a server.
+	servers map[int64]bool
 	// madeAt maps each revision to the time of its change.
 	madeAt  map[int64]time.Time
 	oldest  int64
@@ -40,7 +45,7 @@
 }
 
 func newHistory() *history {
-	return &history{revision: 1, madeAt: make(map[int64]time.Time), changed: make(chan struct{})}
+	return &history{revision: 1, servers: make(map[int64]bool), madeAt: make(map[int64]time.Time), changed: make(chan struct{})}
 }
 
 func (h *history) change() {
@@ -69,14 +74,31 @@
 	if after < h.oldest {
 		return traffic.Changes{}, nil, traffic.ErrHistoryDropped
 	}
-	c := traffic.Changes{Revision: h.revision}
-	for revision := after + 1; revision <= h.revision; revision++ {
-		c.Events = append(c.Events, policySeen(revision))
+	c := traffic.Changes{Revision: min(h.revision, after+maxPage)}
+	c.More = c.Revision < h.revision
+	for revision := after + 1; revision <= c.Revision; revision++ {
+		c.Events = append(c.Events, h.event(revision))
 		c.Revisions = append(c.Revisions, revision)
 	}
 	return c, h.changed, nil
 }
 
+func (h *history) event(revision int64) traffic.Event {
+	if h.servers[revision] {
+		return serverSeen(revision)
+	}
+	return policySeen(revision)
+}
+
+// version returns the newest version of the policy. It is called with the mutex held.
+func (h *history) version() int64 {
+	for revision := h.revision; ; revision-- {
+		if !h.servers[revision] {
+			return revision
+		}
+	}
+}
+
 // client is one instance's access to the store.
 type client struct {
 	*history
@@ -99,7 +121,7 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return traffic.Changes{Revision: c.revision, Events: []traffic.Event{policySeen(c.revision)}}, nil
+	return traffic.Changes{Revision: c.revision, Events: []traffic.Event{policySeen(c.version())}}, nil
 }
 
 func (c *client) Follow(ctx context.Context, after int64, wait, stallTimeout time.Duration) (traffic.Changes, error) {
@@ -145,11 +167,16 @@
 	history   *history
 	instances []*instance
 	times     timekeeper.Timekeeper
+	// perEvent is the time that an event takes on a reader's link.
+	perEvent time.Duration
+	// lags holds how slow instances are to handle a response of the store, by number.
+	lags map[int]time.Duration
 }
 
 type instance struct {
 	relayer *Relayer
 	client  *client
+	link    link
 	// dead makes calls of other instances hang.
 	dead atomic.Bool
 	// applied is the newest version that the instance has applied, and slowest the
@@ -182,13 +209,13 @@
 // with ctx.
 func (d *region) start(ctx context.Context, count, readers int) {
 	for range count {
-		x := &instance{client: &client{history: d.history}}
+		x := &instance{client: &client{history: d.history}, link: link{perEvent: d.perEvent}}
 		x.client.reconnect()
 		d.instances = append(d.instances, x)
 	}
 	for i, x := range d.instances {
 		x.relayer = &Relayer{
-			Store: x.client, Call: d.call, Times: d.times, Clock: clock.System(), Logger: slog.New(slog.DiscardHandler),
+			Store: &laggingClient{client: x.client, lag: d.lags[i]}, Call: d.call, Times: d.times, Clock: clock.System(), Logger: slog.New(slog.DiscardHandler),
 			Readers: func() traffic.Readers {
 				if i < readers {
 					return traffic.Readers{Own: true}
@@ -216,8 +243,11 @@
 		time.Sleep(d.times.RelayWait() + d.times.RelayTimeout())
 		return reply, errCut
 	}
-	err := x.relayer.Changes(query, &reply)
-	return reply, err
+	started := time.Now()
+	if err := x.relayer.Changes(query, &reply); err != nil {
+		return reply, err
+	}
+	return reply, d.transfer(x, len(reply.Events), started)
 }
 
 func (d *region) apply(x *instance, e traffic.Event) {
--- a/internal/steerer/readers_test.go
+++ b/internal/steerer/readers_test.go
@@ -59,3 +59,34 @@
 		})
 	}
 }
+
+// Guards against news that is late behind a reader with too many followers: the readers of
+// a region must be spread evenly over its failure domains, so that near ones share the work
+// and the loss of one domain leaves the others.
+func TestReadersAreSpreadOverTheFailureDomains(t *testing.T) {
+	for _, size := range []int{6, 24, 48, 98, 237} {
+		for shift := range 5 {
+			t.Run(fmt.Sprint(size, " ", shift), func(t *testing.T) {
+				b := newTestBench(t, "follower", "a1")
+				b.Self.PeerAddress = "follower"
+				names := map[string]bool{"follower": true}
+				domains := make(map[string]string)
+				for i := range size {
+					name := fmt.Sprintf("front-%d", 1000*shift+i)
+					domains[name] = fmt.Sprint("a", i%3)
+					b.handle(traffic.InstanceSeen{Instance: traffic.Instance{Name: name, Domain: domains[name], Region: "a", PeerAddress: name}})
+					names[name] = true
+				}
+				b.handle(traffic.InstancesListed{Names: names})
+				readers := b.Readers()
+				perDomain := make(map[string]int)
+				for _, address := range readers.Addresses {
+					perDomain[domains[address]]++
+				}
+				for domain, n := range perDomain {
+					assert.Assert(t, n <= (len(readers.Addresses)+2)/3, "%d of %d readers in %s", n, len(readers.Addresses), domain)
+				}
+			})
+		}
+	}
+}
