Look again at a decision just before the first byte

Cause: between the decision about a request and its first byte lie a goroutine, perhaps the opening of a connection, and the machine's processor. What the instance learned meanwhile did not count. A retry went to the service of the policy that was in force at the arrival.

Change: the reducer gets the event Starting just before the first byte, and answers Start, or withdraws the attempt: its server drains, is gone or another process, is evacuated, ejected or wants a pause; the policy no longer sends the request there; the call has ended; a stop forbids it. A withdrawn attempt is not run, and the request is decided on anew, by the policy in force. The connection goes back to its pool unused.

TestNewsBetweenTheDecisionAndTheFirstByte failed in all five cases, and passes; its stand-in server echoes the request's ID now, without which no response is believed. Tests that call Forwarder.Exchange pass nil. Ruled out: a check before the connection is opened only, since opening may take 450 ms.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -179,12 +179,27 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	call.cancels[e.Attempt] = cancel
 	go func() {
-		outcome := c.Forwarder.Exchange(ctx, call.request, e)
+		outcome := c.Forwarder.Exchange(ctx, call.request, e, func() bool { return c.mayStart(e) })
 		cancel()
 		c.attemptEnded(call, e, outcome)
 	}()
 }
 
+// mayStart reports whether an attempt may be sent, now that its first byte is due.
+func (c *Carrier) mayStart(e traffic.Send) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	allowed := false
+	for _, effect := range c.Steerer.Reduce(c.Clock.Now(), traffic.Starting{Call: e.Call, Attempt: e.Attempt}) {
+		if _, ok := effect.(traffic.Start); ok {
+			allowed = true
+			continue
+		}
+		c.execute(effect)
+	}
+	return allowed
+}
+
 func (c *Carrier) attemptEnded(call *pendingCall, e traffic.Send, outcome traffic.Outcome) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/carrier/late_send_test.go
+++ b/internal/carrier/late_send_test.go
@@ -20,6 +20,8 @@
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
+const headerID = "X-Id"
+
 // slowCodec holds up each first attempt between the decision about it and its first byte,
 // as a machine does that is short of processor time.
 type slowCodec struct {
@@ -28,14 +30,14 @@
 	resume  chan struct{}
 }
 
-func (c *slowCodec) RequestHeader(_ traffic.Request, u traffic.Upstream, _ time.Duration) http.Header {
+func (c *slowCodec) RequestHeader(r traffic.Request, u traffic.Upstream, _ time.Duration) http.Header {
 	c.reached <- u
 	<-c.resume
-	return http.Header{}
+	return http.Header{headerID: {r.ID}}
 }
 
 func (c *slowCodec) DecodeReply(r *http.Response) traffic.Reply {
-	return traffic.Reply{Status: r.StatusCode, Header: r.Header, Signed: true}
+	return traffic.Reply{Status: r.StatusCode, Header: r.Header, RequestID: r.Header.Get(headerID), Signed: true}
 }
 
 // site is one instance with the servers that it uses.
@@ -94,7 +96,10 @@
 	t.Helper()
 	runs := &atomic.Int64{}
 	w.runs[id] = runs
-	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		w.Header().Set(headerID, r.Header.Get(headerID))
+	}))
 	t.Cleanup(server.Close)
 	w.servers[id] = traffic.Upstream{
 		ID: id, Service: service, Domain: domain, Address: server.Listener.Addr().(*net.TCPAddr).String(), Slots: 4, Revision: 1,
--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -62,7 +62,9 @@
 	// skipped counts the responses on the connection that were not the one to this
 	// request.
 	skipped int
-	done    chan result
+	// mayStart is asked just before the first byte; it may be nil.
+	mayStart func() bool
+	done     chan result
 	// started is set before the first byte of the request is written. The
 	// connection's mutex guards it.
 	started bool
@@ -110,17 +112,18 @@
 	})
 }
 
-// exchange writes a request and waits for its response. The error wraps errNotSent
-// if no byte of the request was written.
-func (c *connection) exchange(ctx context.Context, request traffic.Request, header http.Header, timeout time.Duration) (traffic.Reply, error) {
-	x := &exchange{id: request.ID, method: request.Method, done: make(chan result, 1), written: make(chan struct{})}
+// exchange writes a request, encoded in data, and waits for its response. The error wraps
+// errNotSent if no byte of the request was written, and is errWithdrawn if mayStart did not
+// allow it: the connection is then as it was.
+func (c *connection) exchange(ctx context.Context, request traffic.Request, data []byte, timeout time.Duration, mayStart func() bool) (traffic.Reply, error) {
+	x := &exchange{id: request.ID, method: request.Method, mayStart: mayStart, done: make(chan result, 1), written: make(chan struct{})}
 	c.mutex.Lock()
 	c.current = x
 	c.mutex.Unlock()
 	defer c.finish()
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
-	go c.write(x, encode(request, header), timeout)
+	go c.write(x, data, timeout)
 	select {
 	case r := <-x.done:
 		c.awaitWritten(x)
@@ -171,6 +174,10 @@
 }
 
 func (c *connection) write(x *exchange, data []byte, timeout time.Duration) {
+	if x.mayStart != nil && !x.mayStart() {
+		x.complete(result{err: errWithdrawn})
+		return
+	}
 	if !c.start(x) {
 		x.complete(result{err: errNotSent})
 		return
--- a/internal/forwarder/connection_test.go
+++ b/internal/forwarder/connection_test.go
@@ -30,7 +30,8 @@
 	s := startServer(t, echo)
 	c := takeConnection(t, newForwarder(t), s)
 	c.close()
-	_, err := c.exchange(t.Context(), traffic.Request{ID: "2", Method: "GET", Target: "/"}, http.Header{}, time.Second)
+	r := traffic.Request{ID: "2", Method: "GET", Target: "/"}
+	_, err := c.exchange(t.Context(), r, encode(r, http.Header{}), time.Second, nil)
 	assert.Assert(t, errors.Is(err, errNotSent), "%v", err)
 	assert.Equal(t, s.requests.Load(), int64(1))
 }
--- a/internal/forwarder/doc.go
+++ b/internal/forwarder/doc.go
@@ -9,6 +9,6 @@
 // Usage:
 //
 //	f := &forwarder.Forwarder{Codec: codec, Clock: clock.System()}
-//	outcome := f.Exchange(ctx, request, send)   // cancelling ctx aborts the exchange
+//	outcome := f.Exchange(ctx, request, send, mayStart)   // cancelling ctx aborts the exchange
 //	f.Close()
 package forwarder
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -36,6 +36,8 @@
 var (
 	errTooMany = errors.New("forwarder: all connections to the server are in use")
 	errTooLate = errors.New("forwarder: no time is left to send the request")
+	// errWithdrawn means that nothing was written, since mayStart did not allow it.
+	errWithdrawn = errors.New("forwarder: the request was withdrawn before it was sent")
 )
 
 // Forwarder holds the connections to all servers. Set the exported fields
@@ -70,17 +72,18 @@
 }
 
 // Exchange sends a request to a server and waits for the complete response, at
-// most until the deadline or the end of ctx.
-func (f *Forwarder) Exchange(ctx context.Context, request traffic.Request, send traffic.Send) traffic.Outcome {
+// most until the deadline or the end of ctx. mayStart is called just before the first byte
+// is written; if it returns false, nothing is sent. It may be nil.
+func (f *Forwarder) Exchange(ctx context.Context, request traffic.Request, send traffic.Send, mayStart func() bool) traffic.Outcome {
 	started := f.Clock.Now()
-	outcome := f.exchange(ctx, request, send)
+	outcome := f.exchange(ctx, request, send, mayStart)
 	outcome.Took = f.Clock.Now().Sub(started)
 	return outcome
 }
 
 // exchange repeats an exchange on another connection if an idle one has ended
 // before the request was sent.
-func (f *Forwarder) exchange(ctx context.Context, request traffic.Request, send traffic.Send) traffic.Outcome {
+func (f *Forwarder) exchange(ctx context.Context, request traffic.Request, send traffic.Send, mayStart func() bool) traffic.Outcome {
 	for {
 		c, err := f.connect(ctx, send)
 		if err != nil {
@@ -88,7 +91,7 @@
 			return traffic.Outcome{Fate: traffic.NotRun, Unreachable: !busy, Err: err}
 		}
 		reused := !c.idleSince.IsZero()
-		outcome := f.exchangeOn(ctx, c, request, send)
+		outcome := f.exchangeOn(ctx, c, request, send, mayStart)
 		if !reused {
 			outcome.Connected = c.connected
 		}
@@ -100,14 +103,19 @@
 
 // exchangeOn exchanges a request and its response on a connection, and then returns
 // the connection to its pool or closes it.
-func (f *Forwarder) exchangeOn(ctx context.Context, c *connection, request traffic.Request, send traffic.Send) traffic.Outcome {
+func (f *Forwarder) exchangeOn(ctx context.Context, c *connection, request traffic.Request, send traffic.Send, mayStart func() bool) traffic.Outcome {
 	remaining := send.Deadline.Sub(f.Clock.Now())
 	if remaining <= 0 || ctx.Err() != nil {
 		f.put(c)
 		return traffic.Outcome{Fate: traffic.NotRun, Err: errTooLate}
 	}
 	idle := c.idleTime(f.Clock.Now())
-	reply, err := c.exchange(ctx, request, f.Codec.RequestHeader(request, send.Upstream, remaining), remaining)
+	data := encode(request, f.Codec.RequestHeader(request, send.Upstream, remaining))
+	reply, err := c.exchange(ctx, request, data, remaining, mayStart)
+	if errors.Is(err, errWithdrawn) {
+		f.put(c)
+		return traffic.Outcome{Fate: traffic.NotRun, Err: err}
+	}
 	if err != nil {
 		c.close()
 		return f.failedOutcome(err, idle)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -108,7 +108,7 @@
 		traffic.Send{
 			Upstream: traffic.Upstream{ID: "s1", Address: s.address}, Deadline: time.Now().Add(500 * time.Millisecond),
 			Connections: 4, Idempotent: idempotent,
-		})
+		}, nil)
 }
 
 func TestOutcomes(t *testing.T) {
@@ -243,7 +243,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(20*time.Millisecond, cancel)
 	o := newForwarder(t).Exchange(ctx, traffic.Request{ID: "1", Method: "GET", Target: "/"},
-		traffic.Send{Upstream: traffic.Upstream{ID: "s1", Address: s.address}, Deadline: time.Now().Add(time.Minute)})
+		traffic.Send{Upstream: traffic.Upstream{ID: "s1", Address: s.address}, Deadline: time.Now().Add(time.Minute)}, nil)
 	assert.Equal(t, o.Fate, traffic.Unknown)
 	<-closed
 }
--- a/internal/forwarder/pool_test.go
+++ b/internal/forwarder/pool_test.go
@@ -84,7 +84,7 @@
 	use := func(id string) traffic.Fate {
 		return f.Exchange(t.Context(), traffic.Request{ID: id, Method: "GET", Target: "/"}, traffic.Send{
 			Upstream: traffic.Upstream{ID: "s1", Address: s.address}, Deadline: c.Now().Add(time.Second), Idempotent: true,
-		}).Fate
+		}, nil).Fate
 	}
 	pause := func(d time.Duration) { c.offset.Add(int64(d)) }
 	assert.Equal(t, use("1"), traffic.Ran)
@@ -132,7 +132,7 @@
 		return f.Exchange(t.Context(), traffic.Request{ID: id, Method: "GET", Target: "/", Host: "shop.example"}, traffic.Send{
 			Upstream: traffic.Upstream{ID: "s1", Address: s.address}, Deadline: time.Now().Add(5 * time.Second),
 			Connections: connections, Spare: 1, Idempotent: true,
-		})
+		}, nil)
 	}
 	first := make(chan traffic.Outcome)
 	go func() { first <- exchange("busy", 2) }()
@@ -156,7 +156,7 @@
 		return f.Exchange(t.Context(), traffic.Request{ID: id, Method: "GET", Target: "/", Host: "shop.example"}, traffic.Send{
 			Upstream: traffic.Upstream{ID: "s1", Address: s.address}, Deadline: time.Now().Add(5 * time.Second),
 			Connections: connections, Idempotent: true,
-		})
+		}, nil)
 	}
 	outcomes := make(chan traffic.Outcome, 4)
 	for i := range 4 {
--- a/internal/forwarder/response_test.go
+++ b/internal/forwarder/response_test.go
@@ -57,7 +57,7 @@
 			started := time.Now()
 			o := f.Exchange(t.Context(), traffic.Request{ID: "1", Method: "GET", Target: "/"}, traffic.Send{
 				Upstream: traffic.Upstream{ID: "s1", Address: s.address}, Deadline: started.Add(10 * time.Second),
-			})
+			}, nil)
 			runtime.ReadMemStats(&after)
 			assert.Equal(t, o.Fate, traffic.Unknown, "%v", o.Err)
 			assert.Assert(t, time.Since(started) < 5*time.Second, "the exchange waited for its deadline")
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -35,6 +35,8 @@
 	// idempotent is set if the request may be sent to a second server after it may have run.
 	idempotent bool
 	service    string
+	// version is that of the policy by which route and service were last checked.
+	version int64
 	// readAt is when the first byte of the request was read.
 	readAt time.Time
 	// deadline is when the final response is due.
@@ -107,9 +109,8 @@
 	c.idempotent = s.isIdempotent(c)
 	c.deadline = finalDeadline(c)
 	c.tried = make(map[string]bool)
-	c.service = c.route.Shares[max(c.route.splitter.Next(c.route.weights), 0)].Service
+	s.chooseService(c)
 	s.calls[c.number] = c
-	s.retryBudget(c.service).Deposit()
 	s.emit(traffic.Admit{Call: c.number, Until: c.deadline})
 	s.dispatch(c)
 }
@@ -141,6 +142,10 @@
 
 // dispatch sends a call to the best server, or gives it up if there is none.
 func (s *Steerer) dispatch(c *call) {
+	if !s.followPolicy(c) {
+		s.giveUp(c, traffic.NoRoute, 0)
+		return
+	}
 	choice := s.place(c)
 	if choice.server == nil {
 		c.lastChoice = choice
@@ -233,7 +238,7 @@
 	case c.mayHaveRun:
 		s.refuse(c, reason, traffic.Unknown, 0)
 	default:
-		if reason != traffic.Stopping {
+		if reason != traffic.Stopping && reason != traffic.NoRoute {
 			remaining := c.deadline.Sub(s.now)
 			retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter, max(remaining/3, minRetryAfter))
 		}
--- a/internal/steerer/record.go
+++ b/internal/steerer/record.go
@@ -94,6 +94,20 @@
 	})
 }
 
+// recordWithdrawal logs an attempt that is not sent, since what was learned after the
+// decision forbids it.
+func (s *Steerer) recordWithdrawal(c *call, a *attempt, reason string) {
+	s.emit(traffic.Record{
+		Level:    slog.LevelInfo,
+		Message:  "attempt withdrawn",
+		Frequent: true,
+		Attributes: []slog.Attr{
+			attr("request", c.request.ID), attr("call", c.number), attr("server", a.server.ID), attr("reason", reason),
+			attr("held_up", s.now.Sub(a.sentAt)),
+		},
+	})
+}
+
 // recordHedge logs a second attempt that is started while the first is overdue.
 func (s *Steerer) recordHedge(c *call, a *attempt, choice choice) {
 	s.emit(traffic.Record{
--- /dev/null
+++ b/internal/steerer/starting.go
@@ -0,0 +1,88 @@
+package steerer
+
+import (
+	"slices"
+
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+// Reasons for which an attempt is withdrawn, beside the obstacles of its server.
+const (
+	withdrawnEnded  = "the call has ended"
+	withdrawnGone   = "the server is gone"
+	withdrawnPolicy = "the configuration has changed"
+	withdrawnStop   = "the instance is stopping"
+)
+
+// handleStarting decides whether an attempt may be sent now that its first byte is due. It
+// may have been held up since it was decided on, and what has been learned since counts.
+func (s *Steerer) handleStarting(e traffic.Starting) {
+	c := s.calls[e.Call]
+	if c == nil {
+		return
+	}
+	i := slices.IndexFunc(c.pending, func(a *attempt) bool { return a.number == e.Attempt })
+	if i < 0 {
+		return
+	}
+	if reason := s.withdrawalReason(c, c.pending[i]); reason != "" {
+		s.recordWithdrawal(c, c.pending[i], reason)
+		return
+	}
+	s.emit(traffic.Start{})
+}
+
+// withdrawalReason returns why an attempt may no longer be sent, or an empty string if it
+// may.
+func (s *Steerer) withdrawalReason(c *call, a *attempt) string {
+	u := a.server
+	switch {
+	case c.answered || c.expired:
+		return withdrawnEnded
+	case s.upstreams[u.ID] != u:
+		return withdrawnGone
+	case !s.policyAllows(c):
+		return withdrawnPolicy
+	case !s.maySend(c):
+		return withdrawnStop
+	}
+	return s.obstacle(u)
+}
+
+// policyAllows reports whether the policy in force still sends a call to the service that
+// was chosen for it.
+func (s *Steerer) policyAllows(c *call) bool {
+	if c.version == s.policy.Version {
+		return true
+	}
+	return s.match(c.request.HostName, c.request.Path) == c.route && c.route.sendsTo(c.service)
+}
+
+// sendsTo reports whether a part of the route's calls goes to a service.
+func (r *route) sendsTo(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(share traffic.Share) bool { return share.Service == service && share.Weight > 0 })
+}
+
+// followPolicy chooses a call's route and service anew if the policy in force no longer
+// allows those that it has. It returns false if there is no route any more.
+func (s *Steerer) followPolicy(c *call) bool {
+	if s.policyAllows(c) {
+		c.version = s.policy.Version
+		return true
+	}
+	r := s.match(c.request.HostName, c.request.Path)
+	if r == nil {
+		return false
+	}
+	c.route = r
+	c.idempotent = c.idempotent && s.isIdempotent(c)
+	s.chooseService(c)
+	return true
+}
+
+// chooseService deals a call out to one of its route's services.
+func (s *Steerer) chooseService(c *call) {
+	c.version = s.policy.Version
+	c.service = c.route.Shares[max(c.route.splitter.Next(c.route.weights), 0)].Service
+	s.retryBudget(c.service).Deposit()
+}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -108,6 +108,8 @@
 	switch e := e.(type) {
 	case traffic.Arrived:
 		s.handleArrived(e)
+	case traffic.Starting:
+		s.handleStarting(e)
 	case traffic.Ended:
 		s.handleEnded(e)
 	case traffic.Overdue:
--- a/internal/traffic/effect.go
+++ b/internal/traffic/effect.go
@@ -28,6 +28,9 @@
 	Idempotent bool
 }
 
+// Start allows a Send to be written, in response to Starting.
+type Start struct{}
+
 // StartOverdueTimer sets a timer for an Overdue event, which fires even if the Send
 // has ended.
 type StartOverdueTimer struct {
@@ -76,6 +79,7 @@
 
 func (Admit) effect()             {}
 func (Send) effect()              {}
+func (Start) effect()             {}
 func (StartOverdueTimer) effect() {}
 func (Cancel) effect()            {}
 func (Deliver) effect()           {}
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -16,6 +16,13 @@
 	Read time.Time
 }
 
+// Starting asks, just before the first byte of a Send is written, whether it may still be
+// sent. The effect Start allows it; without it the attempt ends unsent.
+type Starting struct {
+	Call    uint64
+	Attempt int
+}
+
 // Ended reports the outcome of a Send.
 type Ended struct {
 	Call    uint64
@@ -117,6 +124,7 @@
 type LookUpRequested struct{ Query Query }
 
 func (Arrived) event()           {}
+func (Starting) event()          {}
 func (Ended) event()             {}
 func (Overdue) event()           {}
 func (Expired) event()           {}
