Let strong instances of all failure domains read the store for the others

Cause: the readers were the first by the hash of their names, among machines whose links differ by ten times and whose processors by five; up to 5 of 6 were in one of three failure domains, so that the only one of another domain served a domain of 33 alone.

Change: an instance's record tells its capacity (settings processor_share, link_mbps). Readers are the strong ones first, and the failure domains take turns. Deployments of equal machines get other readers, as many as before.

TestReadersAreSpreadOverTheFailureDomains failed (5 of 6 in one domain) and passes; TestStrongInstancesRead could not fail before, since there was no capacity.

--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -118,6 +118,7 @@
 		Region:      s.Region,
 		Address:     s.CallerAddress,
 		PeerAddress: s.PeerAddress,
+		Capacity:    s.Capacity(),
 		Incarnation: strconv.FormatUint(rand.Uint64(), 36),
 	}
 	if l.Suspended == nil {
--- a/internal/steerer/readers.go
+++ b/internal/steerer/readers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 
 	"github.com/yuccathread/yuccathread/internal/apportioner"
@@ -34,9 +35,7 @@
 	if len(members) < minRelayed {
 		return traffic.Readers{}
 	}
-	slices.SortFunc(members, func(a, b traffic.Instance) int {
-		return cmp.Compare(apportioner.Hash("", a.Name), apportioner.Hash("", b.Name))
-	})
+	sortByRank(members)
 	members = members[:max(minReaders, len(members)/instancesPerReader)]
 	if slices.ContainsFunc(members, func(i traffic.Instance) bool { return i.Name == s.Self.Name }) {
 		return traffic.Readers{Own: true}
@@ -50,6 +49,35 @@
 	return readers
 }
 
+// sortByRank sorts the instances of a region by how well they suit as readers: strong ones
+// come first, since a reader's link and processor carry the news for many others, and those
+// of the failure domains take turns.
+func sortByRank(members []traffic.Instance) {
+	slices.SortFunc(members, func(a, b traffic.Instance) int {
+		return cmp.Or(cmp.Compare(strength(b), strength(a)), cmp.Compare(apportioner.Hash("", a.Name), apportioner.Hash("", b.Name)))
+	})
+	type group struct {
+		domain   string
+		strength int
+	}
+	turns := make(map[group]int)
+	turnOf := make(map[string]int, len(members))
+	for _, i := range members {
+		g := group{i.Domain, strength(i)}
+		turnOf[i.Name] = turns[g]
+		turns[g]++
+	}
+	slices.SortStableFunc(members, func(a, b traffic.Instance) int {
+		return cmp.Or(cmp.Compare(strength(b), strength(a)), cmp.Compare(turnOf[a.Name], turnOf[b.Name]))
+	})
+}
+
+// strength is an instance's capacity on a coarse scale, so that small differences do not
+// matter: one more for each doubling.
+func strength(i traffic.Instance) int {
+	return bits.Len(uint(max(i.Capacity, 0)))
+}
+
 // sortNearFirst sorts the instances of a failure domain before the others, and both by
 // the hashes of their names with a seed.
 func sortNearFirst(instances []traffic.Instance, domain, seed string) {
--- a/internal/steerer/readers_test.go
+++ b/internal/steerer/readers_test.go
@@ -90,3 +90,33 @@
 		}
 	}
 }
+
+// Guards against news that is late behind a weak reader: where instances differ, the strong
+// ones read, and the weak ones only where there are too few.
+func TestStrongInstancesRead(t *testing.T) {
+	for _, strong := range []int{0, 2, 3, 9, 98} {
+		t.Run(fmt.Sprint(strong), func(t *testing.T) {
+			b := newTestBench(t, "follower", "a1")
+			b.Self.PeerAddress = "follower"
+			names := map[string]bool{"follower": true}
+			for i := range 98 {
+				name := fmt.Sprintf("front-%d", i)
+				instance := traffic.Instance{Name: name, Domain: fmt.Sprint("a", i%3), Region: "a", PeerAddress: "weak", Capacity: 3200}
+				if i < strong {
+					instance.Capacity, instance.PeerAddress = 160_000+i, "strong"
+				}
+				b.handle(traffic.InstanceSeen{Instance: instance})
+				names[name] = true
+			}
+			b.handle(traffic.InstancesListed{Names: names})
+			found := 0
+			for _, address := range b.Readers().Addresses {
+				if address == "strong" {
+					found++
+				}
+			}
+			assert.Equal(t, len(b.Readers().Addresses), 6)
+			assert.Equal(t, found, min(strong, 6))
+		})
+	}
+}
--- a/internal/traffic/settings.go
+++ b/internal/traffic/settings.go
@@ -1,6 +1,10 @@
 package traffic
 
-import "github.com/yuccathread/yuccathread/internal/model"
+import (
+	"math"
+
+	"github.com/yuccathread/yuccathread/internal/model"
+)
 
 // Settings are the startup settings of an instance on a managed platform.
 type Settings struct {
@@ -22,6 +26,11 @@
 	Domains map[string]string `json:"failure_domains"`
 	// MemoryMB is the memory limit of the process.
 	MemoryMB int64 `json:"memory_mb"`
+	// ProcessorShare is the instance's share of a processor core, and LinkMbps the bandwidth
+	// of its link in Mbit/s; zero if they are not known. They tell which instances read the
+	// store for others.
+	ProcessorShare float64 `json:"processor_share"`
+	LinkMbps       float64 `json:"link_mbps"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"log_level"`
 	// LogLines is the largest number of log lines per second about individual
@@ -30,6 +39,15 @@
 	Bounds   Bounds `json:"bounds"`
 }
 
+// capacityUnits is the number of units of capacity of one core on a link of 1 Mbit/s.
+const capacityUnits = 1000
+
+// Capacity returns what an instance's record says of its processor and its link, which both
+// bound the work for other instances; zero if one of them is not known.
+func (s Settings) Capacity() int {
+	return int(min(s.ProcessorShare*s.LinkMbps*capacityUnits, math.MaxInt32))
+}
+
 // Bounds are the limits set by the platform's operators.
 type Bounds struct {
 	// Drain is how long a draining server may still get new requests.
--- a/internal/traffic/upstream.go
+++ b/internal/traffic/upstream.go
@@ -42,6 +42,9 @@
 	Address string `json:"address"`
 	// PeerAddress is where other instances call this one, or empty if they cannot.
 	PeerAddress string `json:"peer_address,omitempty"`
+	// Capacity grows with the instance's processor share and link, or is zero if they are
+	// not known. Only that of instances of the same region is compared.
+	Capacity int `json:"capacity,omitempty"`
 	// Leaving is set while the instance shuts down: it still serves its callers but
 	// accepts no new ones.
 	Leaving bool `json:"leaving"`
