Pass on urgent changes first, in small replies and without what was changed again

What callers saw: on a large fleet, versions of the configuration that were in force seconds late while thousands of records changed (CONFIG, EVAC, DRAIN).

Cause: one stream carried all. A reply held up to 4,096 changes in the order of revisions, encoded for each of the askers, however many they were; on a link of 20 Mbit/s it outlasted the timeout of the call, was thrown away and asked for again at another reader, while the news waited behind it.

Change: a reader keeps the newest change of each record only (compactor), replies with 256 changes at most, the urgent ones first, and serves 32 others at a time. Who gets a change before older ones of other records remembers its revision, so that nothing undoes it. All readers of the region are asked as long as they answer at once; before, two at most. Events have short names on the wire, so instances of an older build get their changes from the store until all are new.

Ruled out: a stream of its own for operators' records, since servers that leave have the same bound and come with the bulk.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -8,6 +8,14 @@
 // the records of the instances; nobody is elected. Instances that disagree for a while
 // make some more calls to the store, but miss no change.
 //
+// A backlog must not delay news that has a bound. A reader passes on what has changed since
+// without what was changed again, in small replies, and the urgent changes first. It serves
+// only so many others, and nobody if what it knows may be too old. An instance that may be
+// behind asks the store in time for the bound.
+//
+// There is one file for each side: asker.go for an instance that asks, reader.go for one
+// that is asked.
+//
 // Usage:
 //
 //	r := &relayer.Relayer{Store: store, Call: gossiper.Changes, Readers: readers, Times: times}
@@ -26,6 +34,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/yuccathread/yuccathread/internal/clock"
+	"github.com/yuccathread/yuccathread/internal/compactor"
 	"github.com/yuccathread/yuccathread/internal/gossiper"
 	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
@@ -34,9 +43,24 @@
 const (
 	// keptChanges is the number of changes that a reader keeps for the others.
 	keptChanges = 4096
-	// maxAsked is the number of readers that may be asked in vain before the store. Each
-	// of them may take a whole timeout.
-	maxAsked = 2
+	// pageSize is the number of changes in one reply. It is small, so that what a reader
+	// sends to all others at once passes its link within the timeout of a call.
+	pageSize = 256
+	// maxAskers is the number of instances that a reader serves at a time: twice its share,
+	// so that half of the readers are enough.
+	maxAskers = 32
+	// maxHung is the number of readers that may leave a call without a response before the
+	// store is called.
+	maxHung = 2
+	// minWait is the shortest wait of a call to the store.
+	minWait = time.Millisecond
+)
+
+// Reasons for which a reader has nothing for another instance.
+const (
+	reasonNoReader = "does not follow the store"
+	reasonHistory  = "does not have the changes"
+	reasonBusy     = "serves too many"
 )
 
 // Relayer is a traffic.Store that gets changes from other instances if it can. Set the
@@ -56,40 +80,48 @@
 
 	mutex sync.Mutex
 	// suspectUntil maps the addresses of readers that failed to the time from which they
-	// are asked again.
-	suspectUntil map[string]time.Time
-	// changes are the newest changes, after the revision changesFrom and up to revision.
-	changes     []change
-	changesFrom int64
-	revision    int64
-	// available is set while this instance follows the store itself.
+	// are asked again, and storeSuspectUntil is the time from which a reader that the store
+	// has failed prefers it again.
+	suspectUntil      map[string]time.Time
+	storeSuspectUntil time.Time
+	// storeFailed is set if the last call to the store failed.
+	storeFailed bool
+	// knownAt is a time up to which this instance knows all changes.
+	knownAt time.Time
+	// urgent is the revision up to which it knows the urgent ones, and early holds the
+	// revisions of those that it has got before others, by their keys.
+	urgent int64
+	early  map[string]int64
+
+	// kept are the newest changes for the others, up to revision.
+	kept     compactor.Compactor[string, traffic.Event]
+	revision int64
+	// available is set while this instance follows the store itself, and freshAt is a time
+	// up to which it then knows all changes.
 	available bool
+	freshAt   time.Time
+	askers    int
 	// changed is closed when changes are added or this instance stops being available.
 	changed chan struct{}
 	pause   time.Duration
 }
 
-// change is an event with the revision of the store that made it.
-type change struct {
-	revision int64
-	event    traffic.Event
-}
-
 // Serve answers the queries of other instances on a mux.
 func (r *Relayer) Serve(mux *http.ServeMux) error {
-	for _, event := range []traffic.Event{
-		traffic.PolicySeen{},
-		traffic.UpstreamSeen{},
-		traffic.UpstreamGone{},
-		traffic.EvacuationSeen{},
-		traffic.EvacuationGone{},
-		traffic.InstanceSeen{},
-		traffic.InstanceGone{},
-		traffic.LimitSeen{},
-		traffic.LimitGone{},
-		traffic.FleetSizeSeen{},
+	// Short names, since each event carries its own.
+	for name, event := range map[string]traffic.Event{
+		"policy":          traffic.PolicySeen{},
+		"server":          traffic.UpstreamSeen{},
+		"server gone":     traffic.UpstreamGone{},
+		"evacuation":      traffic.EvacuationSeen{},
+		"evacuation gone": traffic.EvacuationGone{},
+		"instance":        traffic.InstanceSeen{},
+		"instance gone":   traffic.InstanceGone{},
+		"limit":           traffic.LimitSeen{},
+		"limit gone":      traffic.LimitGone{},
+		"fleet":           traffic.FleetSizeSeen{},
 	} {
-		gob.Register(event)
+		gob.RegisterName(name, event)
 	}
 	return gossiper.Serve(mux, r)
 }
@@ -105,14 +137,18 @@
 func (r *Relayer) Read(ctx context.Context, stallTimeout time.Duration) (traffic.Changes, error) {
 	r.setUnavailable()
 	r.Direct.Inc(1)
+	started := r.Clock.Now()
 	changes, err := r.Store.Read(ctx, stallTimeout)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.storeFailed = err != nil
 	if err != nil {
 		return changes, err
 	}
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.changes = nil
-	r.changesFrom, r.revision = changes.Revision, changes.Revision
+	r.kept.Reset(changes.Revision)
+	r.revision, r.urgent = changes.Revision, changes.Revision
+	r.knownAt = started
+	clear(r.early)
 	return changes, nil
 }
 
@@ -126,156 +162,40 @@
 	r.setUnavailable()
 	if changes, ok := r.askReaders(readers.Addresses, after); ok {
 		r.Relayed.Inc(1)
-		r.setPause(0)
 		return changes, ctx.Err()
 	}
 	if ctx.Err() != nil {
 		return traffic.Changes{}, ctx.Err()
 	}
-	r.setPause(r.Times.Pause())
-	r.Direct.Inc(1)
-	return r.Store.Follow(ctx, after, wait, stallTimeout)
+	changes, err := r.followStore(ctx, after, wait, stallTimeout, r.Times.Pause())
+	return r.withoutEarly(changes), err
 }
 
-// askReaders asks readers in turn for the changes after a revision. ok is false if none
-// of those asked has them.
-func (r *Relayer) askReaders(addresses []string, after int64) (changes traffic.Changes, ok bool) {
-	asked := 0
-	for _, address := range addresses {
-		if asked == maxAsked {
-			return traffic.Changes{}, false
-		}
-		if r.suspected(address) {
-			continue
-		}
-		asked++
-		reply, err := r.Call(address, traffic.ChangesQuery{After: after, Wait: r.Times.RelayWait()})
-		switch {
-		case err != nil:
-			// The record of a reader that has ended is gone after the time of a lease.
-			r.suspect(address, r.Times.Lease(), err.Error())
-		case !reply.Available:
-			r.suspect(address, r.Times.RelayWait(), "does not have the changes")
-		default:
-			return traffic.Changes{Events: reply.Events, Revision: max(after, reply.Revision), Source: address}, true
-		}
-	}
-	return traffic.Changes{}, false
-}
-
-// followAsReader follows the store for the others too. Its calls are shorter than those
-// of an instance that reads for itself only, since the others notice a failure later.
-func (r *Relayer) followAsReader(ctx context.Context, after int64, wait, stallTimeout time.Duration) (traffic.Changes, error) {
-	wait = min(wait, r.Times.ReaderWait())
-	stallTimeout = min(stallTimeout, wait+r.Times.ReaderTimeout())
-	r.setPause(r.Times.ReaderPause())
+// followStore waits for changes at the store.
+func (r *Relayer) followStore(ctx context.Context, after int64, wait, stallTimeout, pause time.Duration) (traffic.Changes, error) {
 	r.Direct.Inc(1)
+	started := r.Clock.Now()
 	changes, err := r.Store.Follow(ctx, after, wait, stallTimeout)
-	if err != nil {
-		r.setUnavailable()
-		return changes, err
-	}
-	r.keep(after, changes)
-	return changes, nil
-}
-
-// keep keeps the changes after a revision for the others.
-func (r *Relayer) keep(after int64, changes traffic.Changes) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if after != r.revision {
-		// This instance got the changes up to here from another one.
-		r.changes = nil
-		r.changesFrom = after
-	}
-	for i, e := range changes.Events {
-		r.changes = append(r.changes, change{revision: changes.Revisions[i], event: e})
-	}
-	if excess := len(r.changes) - keptChanges; excess > 0 {
-		r.changesFrom = r.changes[excess-1].revision
-		r.changes = append([]change(nil), r.changes[excess:]...)
-	}
-	r.revision = changes.Revision
-	if !r.available || len(changes.Events) > 0 {
-		r.wake()
-	}
-	r.available = true
-}
-
-func (r *Relayer) setUnavailable() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.available {
-		r.available = false
-		r.wake()
-	}
-}
-
-// wake ends the waits of Changes. It is called with the mutex held.
-func (r *Relayer) wake() {
-	if r.changed != nil {
-		close(r.changed)
-		r.changed = nil
-	}
-}
-
-// Changes answers a query of another instance. It has the form of a method of net/rpc.
-func (r *Relayer) Changes(query traffic.ChangesQuery, reply *traffic.ChangesReply) error {
-	timer := time.NewTimer(min(query.Wait, r.Times.RelayWait()))
-	defer timer.Stop()
-	for {
-		var changed <-chan struct{}
-		*reply, changed = r.reply(query.After)
-		if !reply.Available || len(reply.Events) > 0 {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return nil
-		}
-	}
-}
-
-// reply returns the changes after a revision, and a channel that is closed when there
-// are more.
-func (r *Relayer) reply(after int64) (traffic.ChangesReply, <-chan struct{}) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.changed == nil {
-		r.changed = make(chan struct{})
-	}
-	reply := traffic.ChangesReply{Available: r.available && after >= r.changesFrom, Revision: r.revision}
-	if !reply.Available {
-		return reply, r.changed
+	r.storeFailed = err != nil
+	if err != nil {
+		return changes, err
 	}
-	for _, c := range r.changes {
-		if c.revision > after {
-			reply.Events = append(reply.Events, c.event)
-		}
+	r.pause = pause
+	if !changes.More {
+		// The response is from its arrival less the time of a call.
+		r.known(r.Clock.Now().Add(-r.Times.CallTime()))
+		r.known(started)
 	}
-	return reply, r.changed
-}
-
-func (r *Relayer) suspected(address string) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.Clock.Now().Before(r.suspectUntil[address])
+	r.urgent = max(r.urgent, changes.Revision)
+	return changes, nil
 }
 
-// suspect leaves out a reader for a while.
-func (r *Relayer) suspect(address string, period time.Duration, reason string) {
-	r.Logger.Info("reader left out", "address", address, "reason", reason, "period_ms", period.Milliseconds())
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.suspectUntil == nil {
-		r.suspectUntil = make(map[string]time.Time)
+// known records that this instance knows all changes up to a time. It is called with the
+// mutex held.
+func (r *Relayer) known(at time.Time) {
+	if at.After(r.knownAt) {
+		r.knownAt = at
 	}
-	r.suspectUntil[address] = r.Clock.Now().Add(period)
-}
-
-func (r *Relayer) setPause(pause time.Duration) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.pause = pause
 }
--- a/internal/steerer/readers.go
+++ b/internal/steerer/readers.go
@@ -37,14 +37,13 @@
 	}
 	sortByRank(members)
 	members = members[:max(minReaders, len(members)/instancesPerReader)]
-	if slices.ContainsFunc(members, func(i traffic.Instance) bool { return i.Name == s.Self.Name }) {
-		return traffic.Readers{Own: true}
-	}
+	readers := traffic.Readers{Own: slices.ContainsFunc(members, func(i traffic.Instance) bool { return i.Name == s.Self.Name })}
 	// The order spreads the other instances over the readers; near ones come first.
 	sortNearFirst(members, s.Self.Domain, s.Self.Name)
-	var readers traffic.Readers
 	for _, i := range members {
-		readers.Addresses = append(readers.Addresses, i.PeerAddress)
+		if i.Name != s.Self.Name {
+			readers.Addresses = append(readers.Addresses, i.PeerAddress)
+		}
 	}
 	return readers
 }
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -3,7 +3,8 @@
 // within its bound:
 //
 //	calm store:    pause, call                                        <= Drain, Apply, Evacuation
-//	lost reader:   its pause, wait, timeout, a relayed call, call     <= Drain, Apply, Evacuation
+//	lost reader:   its age, a relayed call, call                      <= Drain, Apply, Evacuation
+//	no reader:     call, fallback pause, a relayed call, call         <= Drain, Apply, Evacuation
 //	deaf watch:    wait, timeout, retry delay, full read              <= Reconnect
 //	left server:   probe of the store, retry delay, record wait       <= Reconnect
 //	new instance:  pause, call                                        <= JoinDelay
@@ -41,6 +42,10 @@
 	readerTimeoutPercent = 12
 	relayWaitPercent     = 14
 	relayTimeoutPercent  = 12
+	readerAgePercent     = 60
+	relayLimitPercent    = 62
+	fallbackPausePercent = 40
+	maxCallPercent       = 10
 	exitMarginPercent    = 7
 	answerMarginPercent  = 3
 	workWindowPercent    = 45
@@ -129,6 +134,29 @@
 	return k.changeBound() * relayTimeoutPercent / 100
 }
 
+// ReaderAge is the greatest age of what an instance that follows the store for others may
+// know: the wait of a call that returned a change, the pause and the next call.
+func (k *Timekeeper) ReaderAge() time.Duration {
+	return k.changeBound() * readerAgePercent / 100
+}
+
+// FallbackPause is the pause of an instance that has followed the store itself since those
+// that follow it for others did not answer. It is asked of them again first.
+func (k *Timekeeper) FallbackPause() time.Duration {
+	return k.changeBound() * fallbackPausePercent / 100
+}
+
+// CallTime is the time for a call to the store that does not wait.
+func (k *Timekeeper) CallTime() time.Duration {
+	return min(callAllowance, k.changeBound()*maxCallPercent/100)
+}
+
+// RelayLimit is the age of what an instance knows from which on it asks nobody but the
+// store, since another call could take until the end of the bound.
+func (k *Timekeeper) RelayLimit() time.Duration {
+	return k.changeBound() * relayLimitPercent / 100
+}
+
 // FollowWait is how long one call waits for changes.
 func (k *Timekeeper) FollowWait() time.Duration {
 	return k.ofReconnect(followWaitPercent)
--- a/internal/timekeeper/timekeeper_test.go
+++ b/internal/timekeeper/timekeeper_test.go
@@ -44,7 +44,17 @@
 			assert.Assert(t, k.Pause()+call < bound.Duration, "%+v", b)
 			lostReader := k.ReaderPause() + k.ReaderWait() + k.ReaderTimeout() + k.RelayWait() + k.RelayTimeout()
 			assert.Assert(t, lostReader+call < bound.Duration, "%+v", b)
+			// A reader may be as old as it says, and the next one may leave a call without a response.
+			hungReader := k.RelayWait() + k.RelayTimeout()
+			agedReader := k.ReaderAge() + hungReader
+			assert.Assert(t, agedReader+call < bound.Duration, "%+v", b)
+			assert.Assert(t, k.RelayLimit()+hungReader+call < bound.Duration, "%+v", b)
+			// An instance that has called the store asks a reader again before the next call.
+			assert.Assert(t, k.CallTime()+k.FallbackPause() < k.RelayLimit(), "%+v", b)
+			// A reader's calls leave it fresh enough for the others.
+			assert.Assert(t, k.ReaderWait()+k.ReaderPause()+k.ReaderTimeout() < k.ReaderAge(), "%+v", b)
 			assert.Assert(t, k.Pause()+call < k.JoinDelay() && lostReader+call < k.JoinDelay(), "%+v", b)
+			assert.Assert(t, agedReader+call < k.JoinDelay(), "%+v", b)
 			assert.Assert(t, k.JoinDelay() >= shareWindow)
 		}
 		longestRetryDelay := k.RetryDelay() * 3 / 2
