Pass on nothing from a reader that may be behind

What callers saw: late news at all instances behind a reader that lags (CONFIG, DRAIN).

Cause: a reader said that it follows the store and up to which revision, not of when that is. One that is short of processor time, that is just resumed, that catches up with a backlog, or whose link is choked answered "nothing new", and the others took themselves to be up to date.

Ruled out: taking a response to be from its arrival, which is what a lagging instance does.

--- a/internal/relayer/reader.go
+++ b/internal/relayer/reader.go
@@ -170,6 +170,8 @@
 	switch {
 	case !r.available:
 		return reasonNoReader
+	case r.age() > r.Times.ReaderAge():
+		return reasonOld
 	case query.After < r.kept.From():
 		return reasonHistory
 	}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -59,6 +59,7 @@
 // Reasons for which a reader has nothing for another instance.
 const (
 	reasonNoReader = "does not follow the store"
+	reasonOld      = "is not up to date"
 	reasonHistory  = "does not have the changes"
 	reasonBusy     = "serves too many"
 )
