End the chain of calls for changes within its bound

What callers saw: late news at all instances of a region whose readers hang (CONFIG, DRAIN).

Cause: after a call of the store comes a pause of 55 % of the bound; then two readers were asked, each of which may take 26 %, and only then the store again: 107 % and a call.

Change: the pause is 40 % where readers are asked after it, one reader may hang, and an instance whose newest knowledge is older than 62 % of the bound asks the store at once, unless the store failed it last.

TestNewsWhileReadersHang failed with two readers and with six, and passes. TestChainsEndWithinTheirBounds has the new chains, for bounds from half to four times today's.

--- a/internal/relayer/asker.go
+++ b/internal/relayer/asker.go
@@ -14,7 +14,7 @@
 		if r.suspected(address) {
 			continue
 		}
-		if hung == maxHung {
+		if hung == maxHung || r.mustAskStore() {
 			return traffic.Changes{}, false
 		}
 		asked := r.Clock.Now()
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -51,7 +51,7 @@
 	maxAskers = 32
 	// maxHung is the number of readers that may leave a call without a response before the
 	// store is called.
-	maxHung = 2
+	maxHung = 1
 	// minWait is the shortest wait of a call to the store.
 	minWait = time.Millisecond
 )
@@ -168,7 +168,11 @@
 	if ctx.Err() != nil {
 		return traffic.Changes{}, ctx.Err()
 	}
-	changes, err := r.followStore(ctx, after, wait, stallTimeout, r.Times.Pause())
+	pause := r.Times.Pause()
+	if len(readers.Addresses) > 0 {
+		pause = r.Times.FallbackPause()
+	}
+	changes, err := r.followStore(ctx, after, wait, stallTimeout, pause)
 	return r.withoutEarly(changes), err
 }
 
