Let a reader that the store fails get the news from the other readers

What callers saw: instances that the store turns away were behind for as long as it did so, if they were readers, while all others of the region had the news from the readers that are left.

Cause: a reader asked nobody but the store.

TestReaderThatTheStoreTurnsAway failed (its versions late for as long as it was cut off) and passes.

--- a/internal/relayer/late_news_test.go
+++ b/internal/relayer/late_news_test.go
@@ -175,3 +175,30 @@
 		})
 	}
 }
+
+// Guards against a reader that is worse off than the others: one that the store turns away
+// must get the news from the other readers, and read again when the store is back.
+func TestReaderThatTheStoreTurnsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := startTest(t)
+		defer end()
+		d := &region{history: newHistory(), times: times()}
+		d.start(ctx, 12, 3)
+		time.Sleep(5 * time.Second)
+		cut := d.instances[0]
+		cut.client.disconnect()
+		time.Sleep(d.times.Bounds.Reconnect.Duration)
+		for range 20 {
+			d.history.change()
+			time.Sleep(time.Second)
+		}
+		time.Sleep(d.times.Bounds.Apply.Duration)
+		synctest.Wait()
+		d.assertInTime(t, d.instances)
+		cut.client.reconnect()
+		time.Sleep(2 * d.times.Lease())
+		d.history.change()
+		synctest.Wait()
+		assert.Assert(t, cut.relayer.available)
+	})
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -157,7 +157,7 @@
 // and at the store otherwise.
 func (r *Relayer) Follow(ctx context.Context, after int64, wait, stallTimeout time.Duration) (traffic.Changes, error) {
 	readers := r.Readers()
-	if readers.Own {
+	if readers.Own && !r.storeSuspected() {
 		return r.followAsReader(ctx, after, wait, stallTimeout)
 	}
 	r.setUnavailable()
@@ -168,6 +168,9 @@
 	if ctx.Err() != nil {
 		return traffic.Changes{}, ctx.Err()
 	}
+	if readers.Own {
+		return r.followAsReader(ctx, after, wait, stallTimeout)
+	}
 	pause := r.Times.Pause()
 	if len(readers.Addresses) > 0 {
 		pause = r.Times.FallbackPause()
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -235,14 +235,13 @@
 		x.relayer = &Relayer{
 			Store: &laggingClient{client: x.client, lag: d.lags[i]}, Call: d.call, Times: d.times, Clock: clock.System(), Logger: slog.New(slog.DiscardHandler),
 			Readers: func() traffic.Readers {
-				if i < readers {
-					return traffic.Readers{Own: true}
-				}
-				var addresses []string
+				found := traffic.Readers{Own: i < readers}
 				for n := range readers {
-					addresses = append(addresses, fmt.Sprint((i+n)%readers))
+					if other := (i + n) % readers; other != i {
+						found.Addresses = append(found.Addresses, fmt.Sprint(other))
+					}
 				}
-				return traffic.Readers{Addresses: addresses}
+				return found
 			},
 			Relayed: metrics.NewCounter(), Direct: metrics.NewCounter(),
 		}
