--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -55,6 +55,7 @@
 	l.carrier.View(func(s *steerer.Steerer) {
 		metrics.GetOrRegisterGauge("in_flight", l.registry).Update(int64(s.InFlight()))
 		metrics.GetOrRegisterGauge("configuration_version", l.registry).Update(s.Version())
+		metrics.GetOrRegisterGauge("changes_age_ms", l.registry).Update(l.relayer.Age().Milliseconds())
 		metrics.GetOrRegisterGauge("servers_limited", l.registry).Update(int64(s.LimitedServers()))
 		instances, dividedBy := s.Division()
 		metrics.GetOrRegisterGauge("instances_known", l.registry).Update(int64(instances))
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -127,6 +127,18 @@
 	return gossiper.Serve(mux, r)
 }
 
+// Age returns how old what this instance knows of the store may be, or zero before its first
+// read. It includes the wait of a call that is in progress, within which nothing may have
+// changed.
+func (r *Relayer) Age() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.knownAt.IsZero() {
+		return 0
+	}
+	return r.Clock.Now().Sub(r.knownAt)
+}
+
 // Pause returns the pause that should follow the last call.
 func (r *Relayer) Pause() time.Duration {
 	r.mutex.Lock()
