Order the store's revisions across its eras

What callers would see: a version of the configuration that is never in force, servers that left and are used for good (CONFIG, DRAIN), after a store has come back from a copy.

Cause: a watch from a revision that the new era has passed meanwhile is answered as if nothing were missing; a read may take its pages from one era and its changes from the next; relayers and the reducer compared revisions of two eras.

Change: the platform's revision carries its era in the upper bits, so that revisions grow from one era to the next, and everything that compares them is right.

TestNewsAfterARestoration has relayers across eras, twice in a row; it passes with ordered revisions, and could not be written before. Ruled out: an era beside each revision in every record, event and message, which every comparison would have to heed.

--- a/internal/relayer/late_news_test.go
+++ b/internal/relayer/late_news_test.go
@@ -202,3 +202,37 @@
 		assert.Assert(t, cut.relayer.available)
 	})
 }
+
+// Guards against a region that stays at the state of an era before: after the store has come
+// back from a copy, at any moment and twice in a row, whether the new era passes the former
+// one's revisions or not, all instances must get the news in time.
+func TestNewsAfterARestoration(t *testing.T) {
+	for _, passed := range []int{1, 40} {
+		for step := range 12 {
+			t.Run(fmt.Sprintf("%d changes, step %d", passed, step), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, end := startTest(t)
+					defer end()
+					d := &region{history: newHistory(), times: times()}
+					d.start(ctx, 12, 2)
+					for range 20 {
+						d.history.change()
+						time.Sleep(200 * time.Millisecond)
+					}
+					time.Sleep(time.Duration(step) * 100 * time.Millisecond)
+					for range 2 {
+						d.history.restore(10)
+						for range passed {
+							d.history.change()
+						}
+						time.Sleep(time.Duration(step) * 200 * time.Millisecond)
+					}
+					d.history.change()
+					time.Sleep(d.times.Bounds.Apply.Duration)
+					synctest.Wait()
+					d.assertInTime(t, d.instances)
+				})
+			})
+		}
+	}
+}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -66,6 +66,20 @@
 	h.oldest = h.revision
 }
 
+// eraSize is the number of revisions of one era.
+const eraSize = 1 << 44
+
+// restore lets the store come back from a copy that lacks the newest changes: revisions of a
+// new era begin where the copy ends.
+func (h *history) restore(lost int64) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.revision = (h.revision/eraSize+1)*eraSize + max(h.revision%eraSize-lost, 1)
+	h.oldest = h.revision
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
 func policySeen(version int64) traffic.Event {
 	return traffic.PolicySeen{Policy: traffic.Policy{Version: version}}
 }
--- a/internal/traffic/boundary.go
+++ b/internal/traffic/boundary.go
@@ -19,8 +19,12 @@
 	Events []Event
 	// Revisions holds the revision of each event. A full read has none.
 	Revisions []int64
-	// Revision is the revision from which to follow the store next.
+	// Revision is the revision from which to follow the store next. Revisions grow from one
+	// era to the next too.
 	Revision int64
+	// Era grows each time the store comes back from a copy, without what was written since
+	// that was made. It is set in what the store itself returns.
+	Era int64
 	// More is set if Events may hold only a part of the changes.
 	More bool
 	// Rejected holds an error for each record that could not be decoded.
