Keep to what a restored store had acknowledged until it is written again

Cause: a full read was taken for the truth at once. A copy brings back what is over and lacks what is new, until operators, servers and instances have written it again.

Change: the follower tells the reducer that the store was restored (a full read of a later era), and reads all records again after the time in which they must have been written (return_wait and a call). Until then the reducer believes what takes something away and not what gives it back: a process that drains or was removed stays so, evacuations and limits hold, records that are missing are waited for, instances that leave or have ended are not named.

Ruled out: ignoring the first read, since it also holds what is new; waiting before it, since versions, servers that drain and evacuations of the new era have bounds.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -37,6 +37,10 @@
 	Pause func() time.Duration
 
 	revision int64
+	// era is the store's era as of revision, and rereadAt the time at which all records are
+	// read again since the store has come back from a copy.
+	era      int64
+	rereadAt time.Time
 	// synced is set while changes can be followed from revision.
 	synced      bool
 	unavailable bool
@@ -54,6 +58,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	for {
 		started := time.Now()
+		f.rereadIfDue()
 		changes, err := f.next(ctx)
 		switch {
 		case ctx.Err() != nil:
@@ -113,6 +118,7 @@
 		f.unavailable = false
 		f.Handle(traffic.StoreRegained{SinceFailure: time.Since(f.failedCallAt)})
 	}
+	f.noticeRestoration(changes)
 	f.revision = changes.Revision
 	for _, err := range changes.Rejected {
 		f.Logger.Warn("record rejected", "error", err.Error())
@@ -122,6 +128,28 @@
 	}
 }
 
+// noticeRestoration handles a full read of a store that has come back from a copy. All
+// records are read once more when their owners have had the time to write them again.
+func (f *Follower) noticeRestoration(changes traffic.Changes) {
+	if changes.Era <= f.era {
+		return
+	}
+	if f.revision > 0 {
+		f.Logger.Info("store restored from a copy", "era", changes.Era, "revision", changes.Revision)
+		f.Handle(traffic.StoreRestored{Revision: changes.Revision})
+		f.rereadAt = time.Now().Add(f.Times.RestorationWait() + f.Times.CallTime())
+	}
+	f.era = changes.Era
+}
+
+func (f *Follower) rereadIfDue() {
+	if f.rereadAt.IsZero() || time.Now().Before(f.rereadAt) {
+		return
+	}
+	f.rereadAt = time.Time{}
+	f.synced = false
+}
+
 func (f *Follower) storeFailed(err error) {
 	if f.unavailable {
 		return
--- a/internal/steerer/belief.go
+++ b/internal/steerer/belief.go
@@ -13,13 +13,16 @@
 	// recordsDueAt is the time by which records that lapsed in the last outage must be
 	// back.
 	recordsDueAt time.Time
+	// restoredUntil is the time until which the store may lack what it had acknowledged
+	// before it came back from a copy.
+	restoredUntil time.Time
 }
 
 func (s *Steerer) handleStoreLost(e traffic.StoreLost) {
 	if s.store.unavailable {
 		return
 	}
-	s.store = storeState{unavailable: true, lostAt: s.now}
+	s.store = storeState{unavailable: true, lostAt: s.now, restoredUntil: s.store.restoredUntil}
 	s.recordStateChange("store lost", attr("error", e.Err.Error()))
 }
 
@@ -28,7 +31,7 @@
 		return
 	}
 	outage := s.now.Sub(s.store.lostAt)
-	s.store = storeState{recordsDueAt: s.now.Add(s.times().LapsedRecordWait(e.SinceFailure))}
+	s.store = storeState{recordsDueAt: s.now.Add(s.times().LapsedRecordWait(e.SinceFailure)), restoredUntil: s.store.restoredUntil}
 	s.recordStateChange("store regained", attr("away_for", outage))
 }
 
@@ -65,6 +68,9 @@
 }
 
 func (s *Steerer) handleEvacuationsListed(domains map[string]bool) {
+	if s.isRestored() {
+		return
+	}
 	for domain := range s.evacuated {
 		if !domains[domain] {
 			s.handleEvacuationGone(domain)
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -110,7 +110,13 @@
 }
 
 func (s *Steerer) handleInstanceSeen(i traffic.Instance) {
+	if s.isFormerInstance(i) {
+		return
+	}
 	existing := s.instances.records[i.Name]
+	if existing != nil && existing.Incarnation == i.Incarnation && existing.Leaving && s.isRestored() {
+		i.Leaving = true
+	}
 	if existing == nil || existing.Incarnation != i.Incarnation || existing.Leaving != i.Leaving {
 		s.recordStateChange("instance seen", attr("peer", i.Name), attr("incarnation", i.Incarnation), attr("leaving", i.Leaving))
 	}
@@ -150,6 +156,7 @@
 		}
 		delete(s.instances.records, name)
 		s.instances.generation++
+		s.former.addInstance(existing.Incarnation, s.now)
 		if !existing.Leaving {
 			s.instances.departed[name] = departed{Instance: existing.Instance, until: s.now.Add(departedRetention)}
 		}
--- a/internal/steerer/limit.go
+++ b/internal/steerer/limit.go
@@ -47,7 +47,7 @@
 
 func (s *Steerer) handleLimitSeen(l traffic.ServerLimit) {
 	s.storedLimits[l.Server] = l
-	if u := s.upstreams[l.Server]; u != nil && u.Started == l.Started {
+	if u := s.upstreams[l.Server]; u != nil && u.Started == l.Started && !(u.limit.limited && s.isRestored()) {
 		s.setLimit(u, l.Limited, l.PerSecond, "store")
 	}
 	s.compareLimits(l.Server)
@@ -55,7 +55,7 @@
 
 func (s *Steerer) handleLimitGone(server string) {
 	delete(s.storedLimits, server)
-	if u := s.upstreams[server]; u != nil {
+	if u := s.upstreams[server]; u != nil && !s.isRestored() {
 		s.setLimit(u, false, 0, "store")
 	}
 	s.compareLimits(server)
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -48,6 +48,7 @@
 	notices   map[process]*notice
 	evacuated map[string]bool
 	store     storeState
+	former    formerRecords
 	// upstreamsListed and instancesListed are set by the first full read of the store.
 	upstreamsListed bool
 	instancesListed bool
@@ -102,6 +103,7 @@
 	s.unpublishedLimits = make(map[string]*limitNews)
 	s.roundTrips = make(map[string]*measurer.Measurer)
 	s.instances.initialize()
+	s.former.initialize()
 }
 
 func (s *Steerer) reduce(e traffic.Event) {
@@ -166,6 +168,8 @@
 		s.handleStoreLost(e)
 	case traffic.StoreRegained:
 		s.handleStoreRegained(e)
+	case traffic.StoreRestored:
+		s.handleStoreRestored(e)
 	default:
 		s.reduceLimitEvent(e)
 	}
@@ -189,6 +193,7 @@
 	s.expireNotices()
 	s.removeMissingInstances()
 	s.instances.expireDeparted(s.now)
+	s.former.expire(s.now)
 	s.recordDivision()
 	s.publishLimits()
 	s.publishSize()
--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -95,9 +95,10 @@
 
 func (s *Steerer) handleUpstreamSeen(r traffic.Upstream) {
 	u := s.upstreams[r.ID]
-	if u != nil && r.Revision < u.Revision {
+	if u != nil && r.Revision < u.Revision || s.isFormer(r) {
 		return
 	}
+	r = s.withKnownDraining(r)
 	if u != nil && (u.Started != r.Started || u.Address != r.Address || u.Service != r.Service) {
 		s.removeUpstream(u, "restarted")
 		u = nil
@@ -184,6 +185,7 @@
 
 func (s *Steerer) removeUpstream(u *upstream, reason string) {
 	delete(s.upstreams, u.ID)
+	s.former.servers[process{server: u.ID, started: u.Started}] = s.now.Add(formerRetention)
 	s.formerPacers[process{server: u.ID, started: u.Started}] = u.pacer
 	u.notice.goneAt = s.now
 	svc := s.service(u.Service)
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -196,6 +196,12 @@
 	return max(0, min(k.Bounds.ReturnWait.Duration, k.Bounds.Reconnect.Duration-sinceFailure-callAllowance))
 }
 
+// RestorationWait is how long after a store has come back from a copy its records may lack
+// what it had acknowledged. Their owners have written it again by then.
+func (k *Timekeeper) RestorationWait() time.Duration {
+	return k.Bounds.ReturnWait.Duration + callAllowance
+}
+
 // Lease is the time to live of an instance's record.
 func (k *Timekeeper) Lease() time.Duration {
 	return k.Bounds.Reconnect.Duration + removalSlack - k.Pause() - callAllowance
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -108,6 +108,13 @@
 	SinceFailure time.Duration
 }
 
+// StoreRestored reports that the store has come back from a copy. What was written since the
+// copy was made is gone until it is written again.
+type StoreRestored struct {
+	// Revision is the store revision as of which this is known.
+	Revision int64
+}
+
 // SettingsReloaded reports that the settings were reloaded.
 type SettingsReloaded struct{ Settings Settings }
 
@@ -144,6 +151,7 @@
 func (FleetSizeSeen) event()     {}
 func (StoreLost) event()         {}
 func (StoreRegained) event()     {}
+func (StoreRestored) event()     {}
 func (SettingsReloaded) event()  {}
 func (ServingStarted) event()    {}
 func (StopRequested) event()     {}
