Put a configuration in force that has a known number and other content

What callers would see: routes as an operator no longer wants them, after a store has come back from a copy and a version is written under a number that it had lost (CONFIG).

Cause: only a higher version was believed. Change: of two records with the same version the newer one is in force if it differs. A lower version still never comes back.

--- a/internal/steerer/restoration_test.go
+++ b/internal/steerer/restoration_test.go
@@ -128,6 +128,21 @@
 	assert.Assert(t, !b.evacuated["a1"])
 }
 
+// Guards against CONFIG: an older policy that a copy brings back does not come into force,
+// and another one under the same number does.
+func TestPoliciesAfterARestoration(t *testing.T) {
+	b := newReadyBench(t, server("s1", "a1"))
+	b.handle(traffic.PolicySeen{Policy: policy(5), Revision: 50})
+	b.handle(traffic.PolicySeen{Policy: policy(3), Revision: inNewEra(40)})
+	assert.Equal(t, b.Version(), int64(5))
+	other := policy(5)
+	other.Routes = other.Routes[:1]
+	b.handle(traffic.PolicySeen{Policy: other, Revision: inNewEra(60)})
+	assert.Equal(t, len(b.policy.Routes), 1)
+	b.handle(traffic.PolicySeen{Policy: policy(5), Revision: 50})
+	assert.Equal(t, len(b.policy.Routes), 1, "an older record of the same version")
+}
+
 // Guards against LIMIT: a copy holds a limit as it was, or none. What servers have said
 // since holds, and is written to the store again.
 func TestLimitsAfterARestoration(t *testing.T) {
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -18,6 +18,7 @@
 package steerer
 
 import (
+	"reflect"
 	"strings"
 	"time"
 
@@ -37,10 +38,12 @@
 	now     time.Time
 	effects []traffic.Effect
 
-	policy    *traffic.Policy
-	routes    map[string]*route
-	services  map[string]*service
-	upstreams map[string]*upstream
+	policy *traffic.Policy
+	// policyRevision is the store revision of the policy's record.
+	policyRevision int64
+	routes         map[string]*route
+	services       map[string]*service
+	upstreams      map[string]*upstream
 	// formerPacers holds the pacers of removed servers, whose records may return.
 	formerPacers map[process]*pacer.Pacer
 	// notices holds what servers' processes have said of themselves, of those that have
@@ -236,9 +239,10 @@
 
 // handlePolicySeen applies a policy if its version is newer than the current one.
 func (s *Steerer) handlePolicySeen(e traffic.PolicySeen) {
-	if s.policy != nil && e.Policy.Version <= s.policy.Version {
+	if !s.isNewPolicy(e) {
 		return
 	}
+	s.policyRevision = e.Revision
 	routes := make(map[string]*route, len(e.Policy.Routes))
 	for _, r := range e.Policy.Routes {
 		existing := s.routes[r.Name]
@@ -263,6 +267,16 @@
 		attr("routes", len(routes)))
 }
 
+// isNewPolicy reports whether a policy is newer than the one in force. A store that has come
+// back from a copy may hold an older one, which must not come back, and later another one
+// with the same version.
+func (s *Steerer) isNewPolicy(e traffic.PolicySeen) bool {
+	if s.policy == nil || e.Policy.Version != s.policy.Version {
+		return s.policy == nil || e.Policy.Version > s.policy.Version
+	}
+	return e.Revision > s.policyRevision && !reflect.DeepEqual(e.Policy, *s.policy)
+}
+
 // match returns the route of the host with the longest prefix that matches the
 // path.
 func (s *Steerer) match(host, path string) *route {
