Divide by the remembered number of instances soon after a start

What callers would see: more requests to a cold server than its bound, if an instance starts while the others write their records again after the store has come back from a copy (FAILBACK).

Cause: an instance that has joined knows those that had written their records before its own; after a restoration the others may need as long again. Change: for another join delay bounds are divided by the number of instances that the store remembers, if that is higher; that number is not written anew meanwhile.

TestStartWhileOthersWriteTheirRecordsAgain fails without it (6 requests in place of 1) and passes.

--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -211,7 +211,7 @@
 	if limit <= 0 {
 		return 0
 	}
-	size := s.instances.size()
+	size := s.divisor()
 	if !s.hasShares() {
 		size = s.instances.startSize()
 	}
--- a/internal/steerer/eligibility.go
+++ b/internal/steerer/eligibility.go
@@ -91,7 +91,7 @@
 	}
 	svc := s.policy.Services[u.Service]
 	total := max(1, int(svc.ColdRate*s.Settings.Bounds.ColdFactor))
-	size := s.instances.size()
+	size := s.divisor()
 	share, rest := total/size, total%size
 	if rest > 0 && s.coldRank(u) < rest {
 		share++
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -209,11 +209,22 @@
 	return max(m.storedSize, m.size())
 }
 
+// divisor returns by how many a bound of all instances is divided. Soon after this instance
+// has joined the others some of them may be writing their records again, if the store has
+// just come back from a copy: as many as it remembers may be running.
+func (s *Steerer) divisor() int {
+	m := &s.instances
+	if s.now.Before(m.joinedAt.Add(s.times().JoinDelay())) {
+		return max(m.size(), m.storedSize)
+	}
+	return m.size()
+}
+
 // publishSize writes the number of instances to the store if it differs from what the
 // store holds. One instance does so.
 func (s *Steerer) publishSize() {
 	m := &s.instances
-	if m.size() == m.storedSize || !s.hasShares() || s.store.unavailable || s.hashRank("") > 0 {
+	if m.size() == m.storedSize || s.divisor() > m.size() || !s.hasShares() || s.store.unavailable || s.hashRank("") > 0 {
 		return
 	}
 	if s.now.Sub(m.sizePublishedAt) < s.times().JoinDelay() {
--- a/internal/steerer/restoration_test.go
+++ b/internal/steerer/restoration_test.go
@@ -204,3 +204,19 @@
 	assert.Assert(t, ok)
 	assert.DeepEqual(t, result.Addresses, []string{b.Self.Address})
 }
+
+// Guards against FAILBACK: an instance that starts while the others write their records
+// again sees only some of them, and must not divide a bound by those alone.
+func TestStartWhileOthersWriteTheirRecordsAgain(t *testing.T) {
+	cold := server("s1", "a1")
+	cold.Cold = time.Hour
+	b := newStartedBench(t, cold)
+	b.handle(traffic.FleetSizeSeen{Instances: 13})
+	b.handle(traffic.InstanceSeen{Instance: traffic.Instance{Name: "front-2", Region: "a"}})
+	b.join()
+	b.handle(traffic.Ticked{})
+	assert.Assert(t, b.hasShares())
+	assert.Equal(t, b.coldLimit(b.upstreams["s1"]), 1, "13 requests among 13 instances")
+	b.advance(b.times().JoinDelay()).handle(traffic.Ticked{})
+	assert.Assert(t, b.coldLimit(b.upstreams["s1"]) >= 6, "13 requests among two")
+}
