--- a/internal/steerer/limit.go
+++ b/internal/steerer/limit.go
@@ -47,7 +47,10 @@
 
 func (s *Steerer) handleLimitSeen(l traffic.ServerLimit) {
 	s.storedLimits[l.Server] = l
-	if u := s.upstreams[l.Server]; u != nil && u.Started == l.Started && !(u.limit.limited && s.isRestored()) {
+	u := s.upstreams[l.Server]
+	// A copy may hold an older limit.
+	outdated := u != nil && u.limit.limited && s.isRestored()
+	if u != nil && u.Started == l.Started && !outdated {
 		s.setLimit(u, l.Limited, l.PerSecond, "store")
 	}
 	s.compareLimits(l.Server)
