Count the body of a request as long as an attempt uses it

Change: a body's memory is given back when the request has its final answer and its last attempt has ended, and a body above 16 KiB is written as it is, after the head. Further large orders are refused as not run until then.

Ruled out: net.Buffers, for which a machine may lack the system call.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -5,7 +5,7 @@
 // Usage:
 //
 //	c := &carrier.Carrier{Steerer: s, Forwarder: f, Clock: clock.System(), Record: record}
-//	effect := c.Serve(ctx, request, receivedAt)   // ctx is cancelled when the caller disconnects
+//	effect := c.Serve(ctx, request, receivedAt, ended)   // ctx is cancelled when the caller disconnects
 //	c.Handle(traffic.Ticked{})
 package carrier
 
@@ -41,7 +41,9 @@
 
 // pendingCall is a request in progress.
 type pendingCall struct {
-	request  traffic.Request
+	request traffic.Request
+	// ended is called once nothing uses the request any more; it may be nil.
+	ended    func()
 	deadline time.Time
 	final    chan traffic.Effect
 	// cancels holds the cancel functions of the attempts in progress, by number.
@@ -50,9 +52,10 @@
 }
 
 // Serve handles one request and returns its final effect: a Deliver or an
-// Refuse, or nil if the caller has disconnected.
-func (c *Carrier) Serve(ctx context.Context, request traffic.Request, receivedAt time.Time) traffic.Effect {
-	call := &pendingCall{request: request, final: make(chan traffic.Effect, 1), cancels: make(map[int]context.CancelFunc)}
+// Refuse, or nil if the caller has disconnected. Attempts may outlast it: ended, if not nil, is
+// called once when nothing uses the request any more.
+func (c *Carrier) Serve(ctx context.Context, request traffic.Request, receivedAt time.Time, ended func()) traffic.Effect {
+	call := &pendingCall{request: request, ended: ended, final: make(chan traffic.Effect, 1), cancels: make(map[int]context.CancelFunc)}
 	number := c.addCall(call, receivedAt)
 	timer := time.NewTimer(call.deadline.Sub(c.Clock.Now()))
 	defer timer.Stop()
@@ -164,8 +167,12 @@
 
 // removeIfDone removes a call that has its final effect and no attempt in progress.
 func (c *Carrier) removeIfDone(number uint64, call *pendingCall) {
-	if call.done && len(call.cancels) == 0 {
-		delete(c.calls, number)
+	if !call.done || len(call.cancels) > 0 || c.calls[number] != call {
+		return
+	}
+	delete(c.calls, number)
+	if call.ended != nil {
+		call.ended()
 	}
 }
 
--- a/internal/carrier/late_send_test.go
+++ b/internal/carrier/late_send_test.go
@@ -134,7 +134,7 @@
 			final := make(chan traffic.Effect, 1)
 			go func() {
 				request := traffic.Request{ID: "1", Method: "PUT", Host: "shop.example", HostName: "shop.example", Path: "/1", Target: "/1"}
-				final <- w.carrier.Serve(context.Background(), request, time.Now())
+				final <- w.carrier.Serve(context.Background(), request, time.Now(), nil)
 			}()
 			first := <-w.codec.reached
 			w.carrier.Handle(c.news(w, first))
--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -20,6 +20,10 @@
 	readBufferBytes = 4 << 10
 	// writeGrace is how long the write of a request may still take after its response has arrived.
 	writeGrace = 10 * time.Millisecond
+	// usualHeadBytes is the size of most requests' heads.
+	usualHeadBytes = 512
+	// smallBodyBytes is the size up to which a body is sent in one write with the head.
+	smallBodyBytes = 16 << 10
 )
 
 var (
@@ -112,10 +116,10 @@
 	})
 }
 
-// exchange writes a request, encoded in data, and waits for its response. The error wraps
+// exchange writes a request and waits for its response. The error wraps
 // errNotSent if no byte of the request was written, and is errWithdrawn if mayStart did not
 // allow it: the connection is then as it was.
-func (c *connection) exchange(ctx context.Context, request traffic.Request, data []byte, timeout time.Duration, mayStart func() bool) (traffic.Reply, error) {
+func (c *connection) exchange(ctx context.Context, request traffic.Request, m message, timeout time.Duration, mayStart func() bool) (traffic.Reply, error) {
 	x := &exchange{id: request.ID, method: request.Method, mayStart: mayStart, done: make(chan result, 1), written: make(chan struct{})}
 	c.mutex.Lock()
 	c.current = x
@@ -123,7 +127,7 @@
 	defer c.finish()
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
-	go c.write(x, data, timeout)
+	go c.write(x, m, timeout)
 	select {
 	case r := <-x.done:
 		c.awaitWritten(x)
@@ -173,7 +177,7 @@
 	c.current = nil
 }
 
-func (c *connection) write(x *exchange, data []byte, timeout time.Duration) {
+func (c *connection) write(x *exchange, m message, timeout time.Duration) {
 	if x.mayStart != nil && !x.mayStart() {
 		x.complete(result{err: errWithdrawn})
 		return
@@ -186,7 +190,7 @@
 		x.complete(result{err: fmt.Errorf("%w: %w", errNotSent, err)})
 		return
 	}
-	n, err := c.conn.Write(data)
+	n, err := m.writeTo(c.conn)
 	switch {
 	case err == nil:
 		close(x.written)
@@ -220,10 +224,23 @@
 	}
 }
 
+// message is a request in its wire format. A large body is apart, so that it is not copied.
+type message struct{ head, body []byte }
+
+// writeTo writes the message and returns the number of bytes written.
+func (m message) writeTo(conn net.Conn) (int, error) {
+	n, err := conn.Write(m.head)
+	if err != nil || len(m.body) == 0 {
+		return n, err
+	}
+	sent, err := conn.Write(m.body)
+	return n + sent, err
+}
+
 // encode returns a request in its wire format.
-func encode(request traffic.Request, header http.Header) []byte {
+func encode(request traffic.Request, header http.Header) message {
 	var b bytes.Buffer
-	b.Grow(512 + len(request.Body))
+	b.Grow(usualHeadBytes + min(len(request.Body), smallBodyBytes))
 	b.WriteString(request.Method + " " + request.Target + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	if len(request.Body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
 		header.Set("Content-Length", strconv.Itoa(len(request.Body)))
@@ -231,6 +248,9 @@
 	// Writing to a bytes.Buffer never fails.
 	_ = header.Write(&b)
 	b.WriteString("\r\n")
+	if len(request.Body) > smallBodyBytes {
+		return message{head: b.Bytes(), body: request.Body}
+	}
 	b.Write(request.Body)
-	return b.Bytes()
+	return message{head: b.Bytes()}
 }
--- a/internal/forwarder/connection_test.go
+++ b/internal/forwarder/connection_test.go
@@ -44,7 +44,7 @@
 	x := &exchange{done: make(chan result, 1), written: make(chan struct{})}
 	err := c.abandon(x, context.Canceled)
 	assert.Assert(t, errors.Is(err, errNotSent) && errors.Is(err, context.Canceled), "%v", err)
-	c.write(x, []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), time.Second)
+	c.write(x, message{head: []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n")}, time.Second)
 	assert.Assert(t, errors.Is((<-x.done).err, errNotSent))
 	time.Sleep(20 * time.Millisecond)
 	assert.Equal(t, s.requests.Load(), int64(1))
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -110,8 +110,8 @@
 		return traffic.Outcome{Fate: traffic.NotRun, Err: errTooLate}
 	}
 	idle := c.idleTime(f.Clock.Now())
-	data := encode(request, f.Codec.RequestHeader(request, send.Upstream, remaining))
-	reply, err := c.exchange(ctx, request, data, remaining, mayStart)
+	m := encode(request, f.Codec.RequestHeader(request, send.Upstream, remaining))
+	reply, err := c.exchange(ctx, request, m, remaining, mayStart)
 	if errors.Is(err, errWithdrawn) {
 		f.put(c)
 		return traffic.Outcome{Fate: traffic.NotRun, Err: err}
--- a/internal/forwarder/response_test.go
+++ b/internal/forwarder/response_test.go
@@ -90,3 +90,23 @@
 	assert.Equal(t, send(f, small, "small", true).Fate, traffic.Ran)
 	assert.Equal(t, (<-done).Fate, traffic.Unknown)
 }
+
+// Guards against memory that nothing counts: a large body must not be copied to be sent.
+func TestLargeBodyIsNotCopied(t *testing.T) {
+	const large = 16 << 20
+	s := startServer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		respond(conn, r.Header.Get("X-Id"), "")
+		return true
+	})
+	f := newForwarder(t)
+	body := make([]byte, large)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	f.Exchange(t.Context(), traffic.Request{ID: "1", Method: "PUT", Target: "/", Body: body}, traffic.Send{
+		Upstream: traffic.Upstream{ID: "s1", Address: s.address}, Deadline: time.Now().Add(10 * time.Second),
+	}, nil)
+	runtime.ReadMemStats(&after)
+	// The server reads the body into memory once.
+	allocated := after.TotalAlloc - before.TotalAlloc
+	assert.Assert(t, allocated < large+large/2, "%d bytes allocated", allocated)
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -46,16 +46,19 @@
 	receivedAt := r.Clock.Now()
 	request := r.Codec.DecodeRequest(req)
 	body, err := r.readBody(w, req, r.bodyLimit())
-	defer r.Bodies.Release(body)
 	if err != nil {
+		r.Bodies.Release(body)
 		r.refuseBody(w, err)
 		return
 	}
 	if callerLeft(req.Context()) {
+		r.Bodies.Release(body)
 		r.abandon("callers.left_unread")
 	}
 	request.Body = body
-	switch e := r.Carrier.Serve(req.Context(), request, receivedAt).(type) {
+	// A server may be at work at the request after its caller has left.
+	ended := func() { r.Bodies.Release(body) }
+	switch e := r.Carrier.Serve(req.Context(), request, receivedAt, ended).(type) {
 	case traffic.Deliver:
 		r.deliver(w, e.Reply)
 	case traffic.Refuse:
