--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -12,9 +12,10 @@
 //	effects := s.Reduce(now, traffic.Arrived{Call: 1, Request: request, Read: now})
 //
 // There is one file per topic: admission, eligibility, placement, cached objects,
-// outcomes, retries, upstreams, regions, limits of servers, instances, log records, and the
-// effects of store outages and evacuations (belief.go). A Steerer is not safe for concurrent
-// use, and the slice that Reduce returns is valid until the next call.
+// the first byte of an attempt (starting.go), outcomes, retries, upstreams, regions, limits of
+// servers, instances, log records, the effects of store outages and evacuations (belief.go),
+// and what a store that was restored from a copy brings back (restoration.go). A Steerer is
+// not safe for concurrent use, and the slice that Reduce returns is valid until the next call.
 package steerer
 
 import (
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -140,8 +140,8 @@
 	return k.changeBound() * readerAgePercent / 100
 }
 
-// FallbackPause is the pause of an instance that has followed the store itself since those
-// that follow it for others did not answer. It is asked of them again first.
+// FallbackPause is the pause of an instance that has called the store since those that
+// follow it for others did not answer. After the pause it asks them again first.
 func (k *Timekeeper) FallbackPause() time.Duration {
 	return k.changeBound() * fallbackPausePercent / 100
 }
