Look again at a request when a version comes with other content

A request that was decided on just before the same version came into force with other content was sent as the older content said: the check before the first byte compared versions, and a store that has come back from a copy may give a version out again. Policies are now counted as they come into force. Keeping the policy itself in the call was ruled out: pending calls would keep old configurations in memory.

TestVersionWithOtherContentBeforeTheRequestIsSent failed before.

The two searches for a pending attempt by number are one function now.

--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -35,8 +35,8 @@
 	// idempotent is set if the request may be sent to a second server after it may have run.
 	idempotent bool
 	service    string
-	// version is that of the policy by which route and service were last checked.
-	version int64
+	// policyNumber is that of the policy by which route and service were last checked.
+	policyNumber uint64
 	// readAt is when the first byte of the request was read.
 	readAt time.Time
 	// deadline is when the final response is due.
@@ -78,9 +78,17 @@
 // removeAttempt removes a pending attempt and returns it, or nil if there is none
 // with this number.
 func (c *call) removeAttempt(number int) *attempt {
-	for i, a := range c.pending {
+	a := c.pendingAttempt(number)
+	if a != nil {
+		c.pending = slices.DeleteFunc(c.pending, func(other *attempt) bool { return other == a })
+	}
+	return a
+}
+
+// pendingAttempt returns a pending attempt, or nil if it has ended.
+func (c *call) pendingAttempt(number int) *attempt {
+	for _, a := range c.pending {
 		if a.number == number {
-			c.pending = slices.Delete(c.pending, i, i+1)
 			return a
 		}
 	}
--- a/internal/steerer/retry.go
+++ b/internal/steerer/retry.go
@@ -1,7 +1,6 @@
 package steerer
 
 import (
-	"slices"
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/budgeter"
@@ -52,11 +51,10 @@
 	if c == nil || c.answered || c.expired {
 		return
 	}
-	i := slices.IndexFunc(c.pending, func(a *attempt) bool { return a.number == e.Attempt })
-	if i < 0 {
+	a := c.pendingAttempt(e.Attempt)
+	if a == nil {
 		return
 	}
-	a := c.pending[i]
 	waited := s.now.Sub(a.sentAt)
 	if ratio := float64(waited) / float64(max(a.expected, time.Millisecond)); ratio > s.slowdownOf(a.server) {
 		s.updateSlowdown(a.server, ratio)
--- a/internal/steerer/starting.go
+++ b/internal/steerer/starting.go
@@ -21,12 +21,12 @@
 	if c == nil {
 		return
 	}
-	i := slices.IndexFunc(c.pending, func(a *attempt) bool { return a.number == e.Attempt })
-	if i < 0 {
+	a := c.pendingAttempt(e.Attempt)
+	if a == nil {
 		return
 	}
-	if reason := s.withdrawalReason(c, c.pending[i]); reason != "" {
-		s.recordWithdrawal(c, c.pending[i], reason)
+	if reason := s.withdrawalReason(c, a); reason != "" {
+		s.recordWithdrawal(c, a, reason)
 		return
 	}
 	s.emit(traffic.Start{})
@@ -52,7 +52,7 @@
 // policyAllows reports whether the policy in force still sends a call to the service that
 // was chosen for it.
 func (s *Steerer) policyAllows(c *call) bool {
-	if c.version == s.policy.Version {
+	if c.policyNumber == s.policyNumber {
 		return true
 	}
 	return s.match(c.request.HostName, c.request.Path) == c.route && c.route.sendsTo(c.service)
@@ -67,7 +67,7 @@
 // allows those that it has. It returns false if there is no route any more.
 func (s *Steerer) followPolicy(c *call) bool {
 	if s.policyAllows(c) {
-		c.version = s.policy.Version
+		c.policyNumber = s.policyNumber
 		return true
 	}
 	r := s.match(c.request.HostName, c.request.Path)
@@ -82,7 +82,7 @@
 
 // chooseService deals a call out to one of its route's services.
 func (s *Steerer) chooseService(c *call) {
-	c.version = s.policy.Version
+	c.policyNumber = s.policyNumber
 	c.service = c.route.Shares[max(c.route.splitter.Next(c.route.weights), 0)].Service
 	s.retryBudget(c.service).Deposit()
 }
--- a/internal/steerer/starting_test.go
+++ b/internal/steerer/starting_test.go
@@ -60,6 +60,24 @@
 	assert.Equal(t, refusal.Fate, traffic.NotRun)
 }
 
+// Guards against CONFIG: a store that has come back from a copy may give a version out again
+// with other content. A request that was decided on before it follows the newer content.
+func TestVersionWithOtherContentBeforeTheRequestIsSent(t *testing.T) {
+	b := newReadyBench(t, server("s1", "a1"), server("s2", "a2"))
+	_, effects := b.request("/order/1", "7")
+	send := b.mustSend(effects)
+	other := server("s3", "a1")
+	other.Service = "other"
+	b.handle(traffic.UpstreamSeen{Upstream: other})
+	changed := policy(b.Version())
+	changed.Routes[1].Shares = []traffic.Share{{Service: "other", Weight: 1}}
+	b.handle(traffic.PolicySeen{Policy: changed, Revision: 1000})
+	assert.Assert(t, !b.mayStart(send), "the attempt was sent to the service of the older content")
+	second := b.mustSend(b.endAttempt(send, notSent()))
+	assert.Equal(t, second.Upstream.ID, "s3")
+	assert.Assert(t, b.mayStart(second))
+}
+
 // Guards against TWICE: a request that the policy in force sends to a route whose requests
 // must not run twice is not repeated, though it was admitted as one that may be.
 func TestRouteThatBecomesNonIdempotent(t *testing.T) {
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -42,9 +42,12 @@
 	policy *traffic.Policy
 	// policyRevision is the store revision of the policy's record.
 	policyRevision int64
-	routes         map[string]*route
-	services       map[string]*service
-	upstreams      map[string]*upstream
+	// policyNumber counts the policies that have been in force here. Versions do not tell
+	// them apart: a store that has come back from a copy may give one out again.
+	policyNumber uint64
+	routes       map[string]*route
+	services     map[string]*service
+	upstreams    map[string]*upstream
 	// formerPacers holds the pacers of removed servers, whose records may return.
 	formerPacers map[process]*pacer.Pacer
 	// notices holds what servers' processes have said of themselves, of those that have
@@ -244,6 +247,7 @@
 		return
 	}
 	s.policyRevision = e.Revision
+	s.policyNumber++
 	routes := make(map[string]*route, len(e.Policy.Routes))
 	for _, r := range e.Policy.Routes {
 		existing := s.routes[r.Name]
