Lend memory to all that callers and servers send from one account

All now borrow from one accountant, half of memory_mb: bodies of requests until their last attempt ends, responses until their callers have read them, and each request in progress what it needs at least. Who gives way is in package accountant: bodies by rank, then responses that may be asked for again, then others, last the small part of each request. A response for which nothing is left is passed on while it is read, so that what a server has done is answered whatever the memory; one that ends early breaks off visibly. A caller that takes no part of a large response within idle_timeout is cut off.

Ruled out: refusing downloads by the sizes seen on a route. It turns away callers that can be served, and does not bound the first ones.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -11,6 +11,8 @@
 
 import (
 	"context"
+	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -48,11 +50,14 @@
 	final    chan traffic.Effect
 	// cancels holds the cancel functions of the attempts in progress, by number.
 	cancels map[int]context.CancelFunc
-	done    bool
+	// undelivered holds what the responses of its attempts hold, but for the one that was
+	// delivered.
+	undelivered []io.Closer
+	done        bool
 }
 
-// Serve handles one request and returns its final effect: a Deliver or an
-// Refuse, or nil if the caller has disconnected. Attempts may outlast it: ended, if not nil, is
+// Serve handles one request and returns its final effect: a Deliver, whose Rest must be
+// closed, or a Refuse, or nil if the caller has disconnected. Attempts may outlast it: ended, if not nil, is
 // called once when nothing uses the request any more.
 func (c *Carrier) Serve(ctx context.Context, request traffic.Request, receivedAt time.Time, ended func()) traffic.Effect {
 	call := &pendingCall{request: request, ended: ended, final: make(chan traffic.Effect, 1), cancels: make(map[int]context.CancelFunc)}
@@ -91,6 +96,14 @@
 	defer c.mutex.Unlock()
 	c.reduce(traffic.CallerLeft{Call: number})
 	call.done = true
+	select {
+	case e := <-call.final:
+		// The caller left just when its response had come.
+		if deliver, ok := e.(traffic.Deliver); ok && deliver.Reply.Rest != nil {
+			call.undelivered = append(call.undelivered, deliver.Reply.Rest)
+		}
+	default:
+	}
 	c.removeIfDone(number, call)
 }
 
@@ -161,13 +174,24 @@
 		return
 	}
 	call.done = true
+	if deliver, ok := e.(traffic.Deliver); ok {
+		call.undelivered = slices.DeleteFunc(call.undelivered, func(r io.Closer) bool { return r == deliver.Reply.Rest })
+	}
 	call.final <- e
 	c.removeIfDone(number, call)
 }
 
 // removeIfDone removes a call that has its final effect and no attempt in progress.
 func (c *Carrier) removeIfDone(number uint64, call *pendingCall) {
-	if !call.done || len(call.cancels) > 0 || c.calls[number] != call {
+	if !call.done || len(call.cancels) > 0 {
+		return
+	}
+	for _, r := range call.undelivered {
+		// Closing what a response holds does not fail.
+		_ = r.Close()
+	}
+	call.undelivered = nil
+	if c.calls[number] != call {
 		return
 	}
 	delete(c.calls, number)
@@ -211,6 +235,9 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	delete(call.cancels, e.Attempt)
+	if outcome.Reply.Rest != nil {
+		call.undelivered = append(call.undelivered, outcome.Reply.Rest)
+	}
 	c.reduce(traffic.Ended{Call: e.Call, Attempt: e.Attempt, Outcome: outcome})
 	c.removeIfDone(e.Call, call)
 }
--- a/internal/carrier/late_send_test.go
+++ b/internal/carrier/late_send_test.go
@@ -9,9 +9,9 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sync/semaphore"
 	"gotest.tools/v3/assert"
 
+	"github.com/yuccathread/yuccathread/internal/accountant"
 	"github.com/yuccathread/yuccathread/internal/clock"
 	"github.com/yuccathread/yuccathread/internal/collector"
 	"github.com/yuccathread/yuccathread/internal/forwarder"
@@ -78,7 +78,7 @@
 		}},
 		Forwarder: &forwarder.Forwarder{
 			Codec: w.codec, Clock: clock.System(), MaxBodyBytes: 1 << 20,
-			Bodies: &collector.Collector{Memory: semaphore.NewWeighted(2 << 20)},
+			Bodies: &collector.Collector{Accountant: &accountant.Accountant{Limit: 2 << 20}},
 		},
 		Clock: clock.System(), Record: func(traffic.Record) {}, Reannounce: func(int64) {}, Publish: func(traffic.Effect) {},
 	}
--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -68,7 +68,13 @@
 	skipped int
 	// mayStart is asked just before the first byte; it may be nil.
 	mayStart func() bool
-	done     chan result
+	// timeout is how long the exchange may take, and loan is for the response's body.
+	timeout time.Duration
+	loan    traffic.Loan
+	done    chan result
+	// over is set once there is a result, or none is wanted any more. mutex guards it.
+	mutex sync.Mutex
+	over  bool
 	// started is set before the first byte of the request is written. The
 	// connection's mutex guards it.
 	started bool
@@ -119,8 +125,11 @@
 // exchange writes a request and waits for its response. The error wraps
 // errNotSent if no byte of the request was written, and is errWithdrawn if mayStart did not
 // allow it: the connection is then as it was.
-func (c *connection) exchange(ctx context.Context, request traffic.Request, m message, timeout time.Duration, mayStart func() bool) (traffic.Reply, error) {
-	x := &exchange{id: request.ID, method: request.Method, mayStart: mayStart, done: make(chan result, 1), written: make(chan struct{})}
+func (c *connection) exchange(ctx context.Context, request traffic.Request, m message, timeout time.Duration, loan traffic.Loan, mayStart func() bool) (traffic.Reply, error) {
+	x := &exchange{
+		id: request.ID, method: request.Method, mayStart: mayStart, timeout: timeout, loan: loan,
+		done: make(chan result, 1), written: make(chan struct{}),
+	}
 	c.mutex.Lock()
 	c.current = x
 	c.mutex.Unlock()
@@ -133,8 +142,10 @@
 		c.awaitWritten(x)
 		return r.reply, r.err
 	case <-timer.C:
+		x.leave()
 		return traffic.Reply{}, c.abandon(x, context.DeadlineExceeded)
 	case <-ctx.Done():
+		x.leave()
 		return traffic.Reply{}, c.abandon(x, ctx.Err())
 	}
 }
@@ -218,8 +229,24 @@
 
 // complete delivers the first result; later ones are dropped.
 func (x *exchange) complete(r result) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	if x.over {
+		closeReply(r.reply)
+		return
+	}
+	x.over = true
+	x.done <- r
+}
+
+// leave drops the result, also one that comes later.
+func (x *exchange) leave() {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.over = true
 	select {
-	case x.done <- r:
+	case r := <-x.done:
+		closeReply(r.reply)
 	default:
 	}
 }
--- a/internal/forwarder/connection_test.go
+++ b/internal/forwarder/connection_test.go
@@ -31,7 +31,7 @@
 	c := takeConnection(t, newForwarder(t), s)
 	c.close()
 	r := traffic.Request{ID: "2", Method: "GET", Target: "/"}
-	_, err := c.exchange(t.Context(), r, encode(r, http.Header{}), time.Second, nil)
+	_, err := c.exchange(t.Context(), r, encode(r, http.Header{}), time.Second, traffic.Loan{}, nil)
 	assert.Assert(t, errors.Is(err, errNotSent), "%v", err)
 	assert.Equal(t, s.requests.Load(), int64(1))
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -71,8 +71,9 @@
 	opening int
 }
 
-// Exchange sends a request to a server and waits for the complete response, at
-// most until the deadline or the end of ctx. mayStart is called just before the first byte
+// Exchange sends a request to a server and waits for the response, at most until the
+// deadline or the end of ctx. The response is complete unless there is no memory for it; the
+// caller must close its Rest. mayStart is called just before the first byte
 // is written; if it returns false, nothing is sent. It may be nil.
 func (f *Forwarder) Exchange(ctx context.Context, request traffic.Request, send traffic.Send, mayStart func() bool) traffic.Outcome {
 	started := f.Clock.Now()
@@ -111,7 +112,7 @@
 	}
 	idle := c.idleTime(f.Clock.Now())
 	m := encode(request, f.Codec.RequestHeader(request, send.Upstream, remaining))
-	reply, err := c.exchange(ctx, request, m, remaining, mayStart)
+	reply, err := c.exchange(ctx, request, m, remaining, responseLoan(send), mayStart)
 	if errors.Is(err, errWithdrawn) {
 		f.put(c)
 		return traffic.Outcome{Fate: traffic.NotRun, Err: err}
@@ -121,10 +122,13 @@
 		return f.failedOutcome(err, idle)
 	}
 	f.reportUndecoded(reply)
-	// Without an ID, a response can't be told from one that the server repeats.
-	if request.ID != "" && c.reusable(reply) {
+	// Without an ID, a response can't be told from one that the server repeats. A connection
+	// on which a response is still to be read is closed when that is over.
+	switch {
+	case streamOf(reply) != nil:
+	case request.ID != "" && c.reusable(reply):
 		f.put(c)
-	} else {
+	default:
 		c.close()
 	}
 	fate := traffic.Ran
@@ -134,6 +138,14 @@
 	return traffic.Outcome{Fate: fate, Reply: reply}
 }
 
+// responseLoan returns the loan for the response to an attempt.
+func responseLoan(send traffic.Send) traffic.Loan {
+	if send.Idempotent {
+		return traffic.Loan{Holder: traffic.ResponseMemory}
+	}
+	return traffic.Loan{Holder: traffic.OnceResponseMemory}
+}
+
 func (f *Forwarder) reportUndecoded(reply traffic.Reply) {
 	if f.Undecoded == nil {
 		return
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -11,9 +11,9 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sync/semaphore"
 	"gotest.tools/v3/assert"
 
+	"github.com/yuccathread/yuccathread/internal/accountant"
 	"github.com/yuccathread/yuccathread/internal/clock"
 	"github.com/yuccathread/yuccathread/internal/collector"
 	"github.com/yuccathread/yuccathread/internal/traffic"
@@ -92,7 +92,7 @@
 }
 
 func bodies() *collector.Collector {
-	return &collector.Collector{Memory: semaphore.NewWeighted(1 << 18)}
+	return &collector.Collector{Accountant: &accountant.Accountant{Limit: 1 << 18}}
 }
 
 func newForwarder(t *testing.T) *Forwarder {
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 
+	"github.com/yuccathread/yuccathread/internal/collector"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -55,6 +56,11 @@
 		}
 		return true
 	}
+	if stream := streamOf(*reply); stream != nil {
+		x.complete(result{reply: *reply})
+		<-stream.closed
+		return false
+	}
 	c.mutex.Lock()
 	c.outOfSync = c.outOfSync || c.reader.Buffered() > 0
 	c.mutex.Unlock()
@@ -62,40 +68,42 @@
 	return !reply.CloseConnection
 }
 
-// readReply reads one complete response. It returns nil for an interim response and
-// for the response to another request.
+// readReply reads one response, complete unless there is no memory for it. It returns nil
+// for an interim response and for the response to another request.
 func (c *connection) readReply(x *exchange) (*traffic.Reply, error) {
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: x.method})
 	if err != nil {
 		return nil, fmt.Errorf("forwarder: %w", err)
 	}
-	body, err := c.readBody(response)
+	body, err := c.boundedBody(response)
 	if err != nil {
 		return nil, err
 	}
-	if response.StatusCode < http.StatusOK {
-		return nil, nil
-	}
+	interim := response.StatusCode < http.StatusOK
 	reply := c.forwarder.Codec.DecodeReply(response)
-	reply.Body = body
-	if reply.RequestID == x.id {
-		return &reply, nil
-	}
-	if reply.RequestID == "" {
+	switch {
+	case !interim && reply.RequestID == x.id:
+		return &reply, c.readBody(x, &reply, body, response.ContentLength)
+	case !interim && reply.RequestID == "":
 		return nil, errNoRequestID
 	}
-	c.mutex.Lock()
-	c.outOfSync = true
-	c.mutex.Unlock()
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return nil, fmt.Errorf("forwarder: %w", err)
+	}
+	if !interim {
+		c.mutex.Lock()
+		c.outOfSync = true
+		c.mutex.Unlock()
+	}
 	return nil, nil
 }
 
-// readBody reads the body of a response. A body that is too large is not read to its
-// end.
-func (c *connection) readBody(response *http.Response) ([]byte, error) {
+// boundedBody returns a reader of a response's body that fails once the body is too large.
+func (c *connection) boundedBody(response *http.Response) (io.Reader, error) {
 	if response.Body == http.NoBody {
 		// The response to a HEAD request states a length that it does not have.
-		return nil, nil
+		response.ContentLength = 0
+		return response.Body, nil
 	}
 	limit := c.forwarder.MaxBodyBytes
 	if response.ContentLength > limit {
@@ -103,15 +111,33 @@
 	}
 	// The encoding in chunks takes up to as many bytes as it carries.
 	c.limiter.remaining = 2*limit + maxHeadBytes
-	body, err := c.forwarder.Bodies.Read(io.LimitReader(response.Body, limit+1), response.ContentLength)
-	defer c.forwarder.Bodies.Release(body)
-	if err != nil {
-		return nil, fmt.Errorf("forwarder: %w", err)
+	return &limiter{reader: response.Body, remaining: limit + 1}, nil
+}
+
+// readBody reads the body of a response. What there is no memory for is left to be read
+// while the response is delivered, unless the response is an error: another attempt may then
+// be made first.
+func (c *connection) readBody(x *exchange, reply *traffic.Reply, body io.Reader, length int64) error {
+	content, err := c.forwarder.Bodies.Read(body, length, x.loan)
+	reply.Body = content
+	reply.Length = length
+	r := &rest{
+		release:      func() { c.forwarder.Bodies.Release(content, x.loan) },
+		connection:   c,
+		stallTimeout: x.timeout,
+		closed:       make(chan struct{}),
 	}
-	if int64(len(body)) > limit {
-		return nil, errTooLarge
+	reply.Rest = r
+	switch {
+	case errors.Is(err, collector.ErrMemory) && reply.Status < http.StatusInternalServerError:
+		r.reader = body
+		return nil
+	case err != nil:
+		closeReply(*reply)
+		return fmt.Errorf("forwarder: %w", err)
 	}
-	return body, nil
+	reply.Length = int64(len(content))
+	return nil
 }
 
 // limiter fails once it has read all remaining bytes, so that a response without end
--- a/internal/forwarder/response_test.go
+++ b/internal/forwarder/response_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/yuccathread/yuccathread/internal/accountant"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -66,7 +67,7 @@
 			// The server's own memory counts too, and it sends what the sockets' buffers take.
 			allocated := after.TotalAlloc - before.TotalAlloc
 			assert.Assert(t, allocated < 8<<20, "%d bytes allocated, %d sent", allocated, sent.Load())
-			assert.Assert(t, f.Bodies.Memory.TryAcquire(1<<18), "memory was not given back")
+			assert.Equal(t, f.Bodies.Accountant.Lent(), int64(0), "memory was not given back")
 		})
 	}
 }
@@ -83,7 +84,11 @@
 	small := startServer(t, echo)
 	f := newForwarder(t)
 	f.Bodies.Free = 1 << 10
-	assert.Assert(t, f.Bodies.Memory.TryAcquire(1<<18-64<<10+1<<10))
+	// What is left is enough for the large response only.
+	loan := traffic.Loan{Holder: traffic.ResponseMemory, Bytes: 1}
+	for f.Bodies.Accountant.Borrow(loan) {
+	}
+	f.Bodies.Accountant.Return(traffic.Loan{Holder: traffic.ResponseMemory, Bytes: 63 << 10})
 	done := make(chan traffic.Outcome, 1)
 	go func() { done <- send(f, large, "large", true) }()
 	<-started
@@ -124,3 +129,77 @@
 	allocated := after.TotalAlloc - before.TotalAlloc
 	assert.Assert(t, allocated < large/2, "%d bytes allocated", allocated)
 }
+
+// startDownloads starts a server of responses of a size that it sends in two parts. It
+// sends the second part once more is closed, and closes the connection in place of the end if
+// cut is set.
+func startDownloads(t *testing.T, head string, size int, more <-chan struct{}, cut bool) *fakeServer {
+	t.Helper()
+	return startServer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		id := r.Header.Get("X-Id")
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%s\r\n\r\n%s", id, head, strings.Repeat("a", size/2))
+		<-more
+		if cut {
+			fmt.Fprint(conn, strings.Repeat("b", size/4))
+			return false
+		}
+		fmt.Fprint(conn, strings.Repeat("b", size-size/2))
+		return !strings.HasPrefix(head, "Connection: close")
+	})
+}
+
+// A response for which there is no memory is passed on while it is read, whether its length
+// is known or not, and the next request is not sent on its connection.
+func TestResponseWithoutMemory(t *testing.T) {
+	const size = 60_000
+	for _, head := range []string{fmt.Sprint("Content-Length: ", size), "Connection: close"} {
+		for _, cut := range []bool{false, true} {
+			t.Run(fmt.Sprint(head, ", cut: ", cut), func(t *testing.T) {
+				more := make(chan struct{})
+				s := startDownloads(t, head, size, more, cut)
+				f := newForwarder(t)
+				full := traffic.Loan{Holder: traffic.ConnectionMemory, Bytes: f.Bodies.Accountant.Limit}
+				f.Bodies.Accountant.Charge(full)
+				f.Bodies.Free = 16 << 10
+				o := send(f, s, "1", true)
+				assert.Equal(t, o.Fate, traffic.Ran, "%v", o.Err)
+				assert.Assert(t, len(o.Reply.Body) <= 16<<10, "%d bytes are held", len(o.Reply.Body))
+				close(more)
+				rest, err := io.ReadAll(o.Reply.Rest)
+				whole := string(o.Reply.Body) + string(rest)
+				if !cut {
+					assert.NilError(t, err)
+					assert.Equal(t, whole, strings.Repeat("a", size/2)+strings.Repeat("b", size/2))
+				}
+				if cut && strings.HasPrefix(head, "Content-Length") {
+					assert.Assert(t, err != nil, "a response that ends early looks complete")
+				}
+				assert.NilError(t, o.Reply.Rest.Close())
+				assert.NilError(t, o.Reply.Rest.Close())
+				f.Bodies.Accountant.Return(full)
+				assert.Equal(t, f.Bodies.Accountant.Lent(), int64(0), "memory was not given back once")
+				before := s.connections.Load()
+				o = send(f, s, "2", true)
+				assert.Assert(t, s.connections.Load() > before, "the connection was used again")
+				closeReply(o.Reply)
+			})
+		}
+	}
+}
+
+// A response that comes when nobody waits for it any more gives its memory back.
+func TestResponseThatIsNotWanted(t *testing.T) {
+	for _, leaveFirst := range []bool{true, false} {
+		a := &accountant.Accountant{Limit: 1 << 20}
+		loan := traffic.Loan{Holder: traffic.ResponseMemory, Bytes: 1000}
+		assert.Assert(t, a.Borrow(loan))
+		reply := traffic.Reply{Rest: &rest{release: func() { a.Return(loan) }, closed: make(chan struct{})}}
+		x := &exchange{done: make(chan result, 1)}
+		if leaveFirst {
+			x.leave()
+		}
+		x.complete(result{reply: reply})
+		x.leave()
+		assert.Equal(t, a.Lent(), int64(0))
+	}
+}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -17,9 +17,9 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
 
+	"github.com/yuccathread/yuccathread/internal/accountant"
 	"github.com/yuccathread/yuccathread/internal/carrier"
 	"github.com/yuccathread/yuccathread/internal/clock"
 	"github.com/yuccathread/yuccathread/internal/collector"
@@ -40,14 +40,13 @@
 	tickInterval = 100 * time.Millisecond
 	// sweepTicks is the number of ticks between two sweeps of idle connections.
 	sweepTicks = 10
-	// maxBodyBytes limits the body of one request or response. All request bodies
-	// together may hold the process's memory limit divided by requestMemoryDivisor, and
-	// all responses that are being read the limit divided by responseMemoryDivisor. The
-	// first uncountedBytes of a response do not count.
-	maxBodyBytes          = 8 << 20
-	requestMemoryDivisor  = 4
-	responseMemoryDivisor = 8
-	uncountedBytes        = 64 << 10
+	// maxBodyBytes limits the body of one request, where the configuration does not, and
+	// that of one response.
+	maxBodyBytes = 8 << 20
+	// lentPercent is the part of the process's memory that is lent to what callers and
+	// servers send. The rest is for the program, what it knows of the store, and the
+	// garbage collector.
+	lentPercent = 50
 	// maxFailureLines limits the log lines per second about failed requests.
 	maxFailureLines = 200
 )
@@ -71,6 +70,7 @@
 
 	times           timekeeper.Timekeeper
 	registry        metrics.Registry
+	accountant      *accountant.Accountant
 	forwarder       *forwarder.Forwarder
 	carrier         *carrier.Carrier
 	receiver        *receiver.Receiver
@@ -128,14 +128,13 @@
 	l.registry = metrics.NewRegistry()
 	l.frequentLimiter = rate.NewLimiter(rate.Limit(s.LogLines), max(s.LogLines, 1))
 	l.failureLimiter = rate.NewLimiter(maxFailureLines, maxFailureLines)
+	l.accountant = &accountant.Accountant{Limit: s.MemoryMB << 20 * lentPercent / 100, Refused: l.memoryRefused}
 	l.forwarder = &forwarder.Forwarder{
 		Codec:        l.Codec,
 		Clock:        l.Clock,
 		MaxBodyBytes: maxBodyBytes,
-		Bodies: &collector.Collector{
-			Memory: semaphore.NewWeighted(max(s.MemoryMB<<20/responseMemoryDivisor, 2*maxBodyBytes)),
-			Free:   uncountedBytes,
-		},
+		// Each request has borrowed what a small response needs.
+		Bodies:    &collector.Collector{Accountant: l.accountant, Free: receiver.ResponseBytes},
 		Opened:    func() { metrics.GetOrRegisterCounter("connections.opened", l.registry).Inc(1) },
 		Undecoded: l.countUndecoded,
 	}
@@ -167,9 +166,8 @@
 		Clock:        l.Clock,
 		Registry:     l.registry,
 		MaxBodyBytes: maxBodyBytes,
-		Bodies: &collector.Collector{
-			Memory: semaphore.NewWeighted(max(s.MemoryMB<<20/requestMemoryDivisor, maxBodyBytes)),
-		},
+		IdleTimeout:  defaultIdleTimeout,
+		Bodies:       &collector.Collector{Accountant: l.accountant, Free: receiver.SmallBodyBytes},
 	}
 }
 
@@ -201,6 +199,19 @@
 	}
 }
 
+// memoryRefused logs and counts memory that a holder must do without.
+func (l *Launcher) memoryRefused(loan traffic.Loan, lent int64) {
+	metrics.GetOrRegisterCounter("memory.refused."+string(loan.Holder), l.registry).Inc(1)
+	l.record(traffic.Record{
+		Level:   slog.LevelWarn,
+		Message: "memory refused",
+		Attributes: []slog.Attr{
+			slog.String("holder", string(loan.Holder)), slog.Int("rank", loan.Rank), slog.Int64("bytes", loan.Bytes),
+			slog.Int64("lent", lent), slog.Int64("limit", l.accountant.Limit),
+		},
+	})
+}
+
 func (l *Launcher) startFollower(ctx context.Context) {
 	f := &follower.Follower{
 		Store:  l.relayer,
--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -52,6 +52,9 @@
 }
 
 func (l *Launcher) updateGauges() {
+	for holder, bytes := range l.accountant.Held() {
+		metrics.GetOrRegisterGauge("memory.lent_bytes."+string(holder), l.registry).Update(bytes)
+	}
 	l.carrier.View(func(s *steerer.Steerer) {
 		metrics.GetOrRegisterGauge("in_flight", l.registry).Update(int64(s.InFlight()))
 		metrics.GetOrRegisterGauge("configuration_version", l.registry).Update(s.Version())
--- a/internal/receiver/caller_test.go
+++ b/internal/receiver/caller_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/semaphore"
 	"gotest.tools/v3/assert"
 
+	"github.com/yuccathread/yuccathread/internal/accountant"
 	"github.com/yuccathread/yuccathread/internal/carrier"
 	"github.com/yuccathread/yuccathread/internal/clock"
 	"github.com/yuccathread/yuccathread/internal/collector"
@@ -33,7 +33,7 @@
 			Steerer: &steerer.Steerer{}, Clock: clock.System(), Record: func(traffic.Record) { decided.Add(1) },
 		},
 		Codec: bareCodec{}, Clock: clock.System(), Registry: metrics.NewRegistry(), MaxBodyBytes: 1 << 20,
-		Bodies: &collector.Collector{Memory: semaphore.NewWeighted(1 << 20)},
+		Bodies: &collector.Collector{Accountant: &accountant.Accountant{Limit: 100 << 20}},
 	}
 	return &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -26,6 +26,15 @@
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
+const (
+	// SmallBodyBytes is the part of a request's body for which each request in progress has
+	// borrowed the memory.
+	SmallBodyBytes = 16 << 10
+	// requestBytes is what each request in progress needs at least: the head and the buffers
+	// of its connections, a small body, and the part of a response that is written at a time.
+	requestBytes = 16<<10 + SmallBodyBytes + ResponseBytes
+)
+
 // Receiver answers HTTP requests. Set the fields before the first request.
 type Receiver struct {
 	Carrier  *carrier.Carrier
@@ -35,7 +44,11 @@
 	// MaxBodyBytes limits the body of one request where the current policy sets no
 	// limit.
 	MaxBodyBytes int64
-	// Bodies reads the bodies of requests.
+	// IdleTimeout bounds the time in which a caller must take a part of a large response,
+	// where the current policy sets no bound.
+	IdleTimeout time.Duration
+	// Bodies reads the bodies of requests. Its Accountant lends each request in progress
+	// what it needs at least.
 	Bodies *collector.Collector
 	// Stopping makes every response close its connection.
 	Stopping atomic.Bool
@@ -45,22 +58,29 @@
 func (r *Receiver) Serve(w http.ResponseWriter, req *http.Request) {
 	receivedAt := r.Clock.Now()
 	request := r.Codec.DecodeRequest(req)
-	body, err := r.readBody(w, req, r.bodyLimit())
+	needed := traffic.Loan{Holder: traffic.RequestMemory, Bytes: requestBytes}
+	if !r.Bodies.Accountant.Borrow(needed) {
+		r.refuseBody(w, collector.ErrMemory)
+		return
+	}
+	defer r.Bodies.Accountant.Return(needed)
+	limit, loan := r.bodyTerms(request)
+	body, err := r.readBody(w, req, limit, loan)
 	if err != nil {
-		r.Bodies.Release(body)
+		r.Bodies.Release(body, loan)
 		r.refuseBody(w, err)
 		return
 	}
 	if callerLeft(req.Context()) {
-		r.Bodies.Release(body)
+		r.Bodies.Release(body, loan)
 		r.abandon("callers.left_unread")
 	}
 	request.Body = body
 	// A server may be at work at the request after its caller has left.
-	ended := func() { r.Bodies.Release(body) }
+	ended := func() { r.Bodies.Release(body, loan) }
 	switch e := r.Carrier.Serve(req.Context(), request, receivedAt, ended).(type) {
 	case traffic.Deliver:
-		r.deliver(w, e.Reply)
+		r.deliver(w, req, e.Reply)
 	case traffic.Refuse:
 		if e.Reason == traffic.Misdirected {
 			maps.Copy(w.Header(), r.Codec.MisdirectedHeader(request))
@@ -88,23 +108,26 @@
 	metrics.GetOrRegisterCounter(name, r.Registry).Inc(1)
 }
 
-// bodyLimit returns the maximum size of one request body.
-func (r *Receiver) bodyLimit() int64 {
-	limit := int64(0)
-	r.Carrier.View(func(s *steerer.Steerer) { limit = s.Limits().BodyBytes })
-	if limit > 0 {
-		return limit
-	}
-	return r.MaxBodyBytes
+// bodyTerms returns the maximum size of a request's body, and the loan for its memory.
+func (r *Receiver) bodyTerms(request traffic.Request) (int64, traffic.Loan) {
+	limit := r.MaxBodyBytes
+	loan := traffic.Loan{Holder: traffic.BodyMemory}
+	r.Carrier.View(func(s *steerer.Steerer) {
+		if bytes := s.Limits().BodyBytes; bytes > 0 {
+			limit = bytes
+		}
+		loan.Rank = s.Rank(request)
+	})
+	return limit, loan
 }
 
 // readBody reads a complete body of at most limit bytes. The caller must release it,
 // also after an error.
-func (r *Receiver) readBody(w http.ResponseWriter, req *http.Request, limit int64) ([]byte, error) {
+func (r *Receiver) readBody(w http.ResponseWriter, req *http.Request, limit int64, loan traffic.Loan) ([]byte, error) {
 	if req.ContentLength > limit {
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
-	return r.Bodies.Read(http.MaxBytesReader(w, req.Body, limit), req.ContentLength)
+	return r.Bodies.Read(http.MaxBytesReader(w, req.Body, limit), req.ContentLength, loan)
 }
 
 // refuseBody answers a request whose body could not be read in full.
@@ -120,25 +143,6 @@
 	}
 }
 
-func (r *Receiver) deliver(w http.ResponseWriter, reply traffic.Reply) {
-	header := w.Header()
-	for name, values := range reply.Header {
-		header[name] = values
-	}
-	r.closeIfStopping(header)
-	// A nil value keeps net/http from guessing a Content-Type that the server did not send.
-	if _, ok := header["Content-Type"]; !ok {
-		header["Content-Type"] = nil
-	}
-	if reply.Status != http.StatusNoContent && reply.Status != http.StatusNotModified {
-		header.Set("Content-Length", strconv.Itoa(len(reply.Body)))
-	}
-	w.WriteHeader(reply.Status)
-	// A write fails only if the caller has disconnected, so there is nobody to report it to.
-	_, _ = w.Write(reply.Body)
-	r.count("answers.delivered." + strconv.Itoa(reply.Status))
-}
-
 // closeIfStopping makes a response close its connection if this instance stops, also one to
 // a request that was read before.
 func (r *Receiver) closeIfStopping(header http.Header) {
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -227,6 +227,19 @@
 	return s.policy.Limits
 }
 
+// Rank returns the rank of a request that has not arrived yet, or that of the least urgent
+// route if it has no route.
+func (s *Steerer) Rank(r traffic.Request) int {
+	if route := s.match(r.HostName, r.Path); route != nil {
+		return route.Rank
+	}
+	lowest := 0
+	for _, route := range s.routes {
+		lowest = max(lowest, route.Rank)
+	}
+	return lowest
+}
+
 // InFlight returns the number of calls that are not finished.
 func (s *Steerer) InFlight() int {
 	return len(s.calls)
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -1,6 +1,7 @@
 package traffic
 
 import (
+	"io"
 	"net/http"
 	"time"
 )
@@ -31,11 +32,16 @@
 	Server string
 }
 
-// Reply is a server's complete response.
+// Reply is a server's response.
 type Reply struct {
 	Status int
 	Header http.Header
 	Body   []byte
+	// Rest is what follows Body. It is empty unless there is no memory for a large body, which
+	// is then passed on while it is read. Closing Rest gives back what the response holds.
+	Rest io.ReadCloser
+	// Length is the length of the whole body, or negative if it is not known.
+	Length int64
 	// RequestID is the request ID in the response.
 	RequestID string
 	// Signed is set if the response carries proof that the server produced it.
