--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -36,6 +36,8 @@
 	// before it.
 	bodyRankPercent = 10
 	lowestRank      = 3
+	// connectionPercent is the share above which callers' connections are not kept.
+	connectionPercent = 50
 )
 
 // Accountant counts borrowed bytes. Set the exported fields before the first loan.
@@ -84,6 +86,14 @@
 	a.add(loan.Holder, -loan.Bytes)
 }
 
+// KeepsConnections reports whether callers may keep their connections: these hold memory for
+// requests that may never come.
+func (a *Accountant) KeepsConnections() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return a.held[traffic.ConnectionMemory] <= a.Limit/100*connectionPercent
+}
+
 // Lent returns the bytes on loan.
 func (a *Accountant) Lent() int64 {
 	a.mutex.Lock()
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -71,6 +71,21 @@
 	assert.Assert(t, a.Borrow(traffic.Loan{Holder: traffic.RequestMemory, Bytes: 1}))
 }
 
+// Callers that keep thousands of connections: those beyond half of the memory go after their
+// response, and what else is on loan does not count.
+func TestManyKeptConnections(t *testing.T) {
+	a := &Accountant{Limit: 1000}
+	connection := traffic.Loan{Holder: traffic.ConnectionMemory, Bytes: 250}
+	fill(a, traffic.ResponseMemory, 0)
+	a.Charge(connection)
+	a.Charge(connection)
+	assert.Assert(t, a.KeepsConnections())
+	a.Charge(connection)
+	assert.Assert(t, !a.KeepsConnections())
+	a.Return(connection)
+	assert.Assert(t, a.KeepsConnections())
+}
+
 // Whatever the order of loans and returns, the sums agree and end at zero.
 func TestRandomLoansEndAtZero(t *testing.T) {
 	holders := []traffic.Holder{traffic.RequestMemory, traffic.BodyMemory, traffic.OnceResponseMemory, traffic.ResponseMemory}
--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -98,6 +98,7 @@
 		// A success that no server has given must not be sent, also not to OPTIONS *.
 		DisableGeneralOptionsHandler: true,
 		ConnContext:                  l.receiver.ConnContext,
+		ConnState:                    l.receiver.ConnState,
 		ReadHeaderTimeout:            orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:                  orDefault(limits.IdleTimeout, defaultIdleTimeout),
 		MaxHeaderBytes:               orDefault(limits.HeaderBytes, defaultHeaderBytes),
--- a/internal/receiver/caller.go
+++ b/internal/receiver/caller.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"syscall"
+
+	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
 // connectionKey is the key of a caller's connection in the context of its requests.
@@ -15,6 +18,21 @@
 	return context.WithValue(ctx, connectionKey{}, conn)
 }
 
+// connectionBytes is what a caller's connection holds while no request is in progress.
+const connectionBytes = 20 << 10
+
+// ConnState is the ConnState of the http.Server whose handler is Serve. It counts the memory
+// of connections.
+func (r *Receiver) ConnState(_ net.Conn, state http.ConnState) {
+	loan := traffic.Loan{Holder: traffic.ConnectionMemory, Bytes: connectionBytes}
+	switch state {
+	case http.StateNew:
+		r.Bodies.Accountant.Charge(loan)
+	case http.StateClosed:
+		r.Bodies.Accountant.Return(loan)
+	}
+}
+
 // callerLeft reports whether the caller of a request that was read in full has closed its
 // connection. net/http notices that too, but only after the handler has started: too late
 // for a request that has waited long to be read.
--- a/internal/receiver/caller_test.go
+++ b/internal/receiver/caller_test.go
@@ -25,22 +25,27 @@
 
 func (bareCodec) DecodeRequest(*http.Request) traffic.Request { return traffic.Request{} }
 
-// newCallerServer returns a server whose decisions about requests are counted. Each
-// handler waits for gate before it starts.
-func newCallerServer(decided *atomic.Int64, gate <-chan struct{}) *http.Server {
-	r := &Receiver{
+// newCallerReceiver returns a receiver whose decisions about requests are counted.
+func newCallerReceiver(decided *atomic.Int64) *Receiver {
+	return &Receiver{
 		Carrier: &carrier.Carrier{
 			Steerer: &steerer.Steerer{}, Clock: clock.System(), Record: func(traffic.Record) { decided.Add(1) },
 		},
 		Codec: bareCodec{}, Clock: clock.System(), Registry: metrics.NewRegistry(), MaxBodyBytes: 1 << 20,
 		Bodies: &collector.Collector{Accountant: &accountant.Accountant{Limit: 100 << 20}},
 	}
+}
+
+// newCallerServer returns a server for a receiver. Each handler waits for gate before it
+// starts.
+func newCallerServer(r *Receiver, gate <-chan struct{}) *http.Server {
 	return &http.Server{
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 			<-gate
 			r.Serve(w, req)
 		}),
 		ConnContext: r.ConnContext,
+		ConnState:   r.ConnState,
 	}
 }
 
@@ -76,7 +81,7 @@
 			dial(t, listener, request).Close()
 		}
 		staying := dial(t, listener, request)
-		server := newCallerServer(&decided, gate)
+		server := newCallerServer(newCallerReceiver(&decided), gate)
 		go server.Serve(listener)
 		response := make([]byte, 12)
 		_, err := io.ReadFull(staying, response)
@@ -96,7 +101,7 @@
 		var decided atomic.Int64
 		gate := make(chan struct{})
 		listener := listen(t)
-		server := newCallerServer(&decided, gate)
+		server := newCallerServer(newCallerReceiver(&decided), gate)
 		go server.Serve(listener)
 		conn := dial(t, listener, "GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n")
 		assert.NilError(t, conn.CloseWrite())
--- a/internal/receiver/deliver.go
+++ b/internal/receiver/deliver.go
@@ -32,7 +32,7 @@
 	for name, values := range reply.Header {
 		header[name] = values
 	}
-	r.closeIfStopping(header)
+	r.closeIfNotKept(header)
 	// A nil value keeps net/http from guessing a Content-Type that the server did not send.
 	if _, ok := header["Content-Type"]; !ok {
 		header["Content-Type"] = nil
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -64,7 +64,7 @@
 		return
 	}
 	defer r.Bodies.Accountant.Return(needed)
-	limit, loan := r.bodyTerms(request)
+	limit, loan := r.bodyTerms(request, req.ContentLength)
 	body, err := r.readBody(w, req, limit, loan)
 	if err != nil {
 		r.Bodies.Release(body, loan)
@@ -108,15 +108,18 @@
 	metrics.GetOrRegisterCounter(name, r.Registry).Inc(1)
 }
 
-// bodyTerms returns the maximum size of a request's body, and the loan for its memory.
-func (r *Receiver) bodyTerms(request traffic.Request) (int64, traffic.Loan) {
+// bodyTerms returns the maximum size of a request's body, and the loan for its memory. The
+// rank, which takes a search among the routes, counts for bodies that are not small.
+func (r *Receiver) bodyTerms(request traffic.Request, length int64) (int64, traffic.Loan) {
 	limit := r.MaxBodyBytes
 	loan := traffic.Loan{Holder: traffic.BodyMemory}
 	r.Carrier.View(func(s *steerer.Steerer) {
 		if bytes := s.Limits().BodyBytes; bytes > 0 {
 			limit = bytes
 		}
-		loan.Rank = s.Rank(request)
+		if length < 0 || length > SmallBodyBytes {
+			loan.Rank = s.Rank(request)
+		}
 	})
 	return limit, loan
 }
@@ -143,10 +146,10 @@
 	}
 }
 
-// closeIfStopping makes a response close its connection if this instance stops, also one to
-// a request that was read before.
-func (r *Receiver) closeIfStopping(header http.Header) {
-	if r.Stopping.Load() {
+// closeIfNotKept makes a response close its connection if this instance stops, also one to a
+// request that was read before, or if connections hold too much memory.
+func (r *Receiver) closeIfNotKept(header http.Header) {
+	if r.Stopping.Load() || !r.Bodies.Accountant.KeepsConnections() {
 		header.Set("Connection", "close")
 	}
 }
@@ -174,7 +177,7 @@
 	if refusal.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
 	}
-	r.closeIfStopping(w.Header())
+	r.closeIfNotKept(w.Header())
 	r.count("answers.own." + string(refusal.Reason))
 	http.Error(w, string(refusal.Reason), status)
 }
