Leave more of the memory to the small part of each request

With 64 MB, 63 of 160 callers that asked for 4 MiB were refused: responses that are held whole used up to 70 % of the account, and too little was left for what each request needs at least. What can be passed on or refused now has smaller shares.

The stand-ins of the review take a memory limit and a dose from the environment; without them they do as before.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -29,12 +29,12 @@
 // what the holder with the smaller one can never take from the other.
 const (
 	requestPercent      = 95
-	onceResponsePercent = 85
-	responsePercent     = 70
-	bodyPercent         = 60
+	onceResponsePercent = 65
+	responsePercent     = 50
+	bodyPercent         = 40
 	// Each rank down to lowestRank may use bodyRankPercent less for bodies than the one
 	// before it.
-	bodyRankPercent = 10
+	bodyRankPercent = 5
 	lowestRank      = 3
 	// connectionPercent is the share above which callers' connections are not kept.
 	connectionPercent = 50
@@ -126,6 +126,10 @@
 		percent = responsePercent
 	case traffic.BodyMemory:
 		percent = bodyPercent - bodyRankPercent*int64(min(max(loan.Rank, 0), lowestRank))
+		if a.held[traffic.BodyMemory] == 0 {
+			// Where memory is small, a large body can be accepted while there is no other.
+			percent = responsePercent
+		}
 	}
 	return a.Limit / 100 * percent
 }
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -40,6 +40,19 @@
 	assert.Assert(t, last < a.Limit)
 }
 
+// A body that is large for the machine is not refused for ever: it finds room while there is
+// no other one.
+func TestLargeBodyOnASmallMachine(t *testing.T) {
+	a := &Accountant{Limit: 1000}
+	body := traffic.Loan{Holder: traffic.BodyMemory, Rank: 9, Bytes: 450}
+	small := traffic.Loan{Holder: traffic.BodyMemory, Rank: 9, Bytes: 1}
+	assert.Assert(t, a.Borrow(body))
+	assert.Assert(t, !a.Borrow(small))
+	a.Return(body)
+	assert.Assert(t, a.Borrow(small))
+	assert.Assert(t, !a.Borrow(body))
+}
+
 // A rank that makes no sense has neither more room than the most urgent one nor none.
 func TestRanksThatMakeNoSense(t *testing.T) {
 	urgent := fill(&Accountant{Limit: 1000}, traffic.BodyMemory, 0)
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -8,7 +8,9 @@
 //
 //	rig -case NAME -program target/yuccathread -record FILE
 //
-// The environment variable TROUBLE=0 leaves out the disruption. The exit code is 1 if the
+// The environment variable TROUBLE=0 leaves out the disruption, MEMORY_MB is the memory limit
+// of an instance in place of 284, and DOSE multiplies the number of clients that read slowly
+// or leave. The exit code is 1 if the
 // rule was broken, 0 if it held and 2 if the case could not run.
 package main
 
@@ -18,6 +20,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -32,11 +35,14 @@
 type rig struct {
 	program, folder, storeAddress string
 	// trouble is set unless the disruption is left out.
-	trouble   bool
-	started   time.Time
-	store     *store
-	fleet     *fleet
-	instances []*instance
+	trouble bool
+	// memoryMB is the memory limit of an instance, and dose multiplies the number of clients
+	// that cause the disruption.
+	memoryMB, dose int
+	started        time.Time
+	store          *store
+	fleet          *fleet
+	instances      []*instance
 
 	mutex    sync.Mutex
 	record   *os.File
@@ -60,6 +66,17 @@
 	os.Exit(play(*name, *program, *record))
 }
 
+// numberFrom returns a number from the environment, or a default.
+func numberFrom(variable string, usual int) int {
+	text := os.Getenv(variable)
+	if text == "" {
+		return usual
+	}
+	n, err := strconv.Atoi(text)
+	must(err)
+	return n
+}
+
 func play(name, program, record string) (code int) {
 	const limit = 110 * time.Second
 	played := cases[name]
@@ -68,6 +85,7 @@
 		return 2
 	}
 	r := &rig{program: program, trouble: os.Getenv("TROUBLE") != "0", started: time.Now(), store: newStore()}
+	r.memoryMB, r.dose = numberFrom("MEMORY_MB", defaultMemoryMB), numberFrom("DOSE", 1)
 	r.fleet = &fleet{rig: r, runs: map[string][]run{}}
 	var err error
 	r.record, err = os.Create(record)
