Say in a refusal why each server of the service gets nothing

An operator had to look for the reason in other lines: which servers drain, leave, want a pause, are ejected, evacuated, cold or at their limit. One place decides it now for eligibility, rates and the log, and a refusal without any eligible server counts them (`obstacles`).

TestRefusalCountsObstacles; the attribute did not exist.

--- a/internal/steerer/eligibility.go
+++ b/internal/steerer/eligibility.go
@@ -11,8 +11,12 @@
 // gets only idempotent requests.
 const idempotentProbeWait = 3 * time.Second
 
-// obstaclePause is the obstacle of a server that wants a pause.
-const obstaclePause = "pause"
+// Obstacles that matter beyond the log.
+const (
+	// obstaclePause is that of a server that wants a pause.
+	obstaclePause = "pause"
+	obstacleTried = "tried"
+)
 
 // eligible returns the servers that may get a call if they have room, including those that
 // it has already tried, with their scores for the call's object.
@@ -21,7 +25,7 @@
 	shares := s.regionShares(svc)
 	candidates := make([]candidate, 0, len(svc.servers))
 	for _, u := range svc.servers {
-		if !s.available(u) || !s.ejectorAllows(c, u) || !regionAllowed(c.route.HomeRegions, u.region) {
+		if s.obstacleTo(c, u) != "" {
 			continue
 		}
 		weight := float64(u.Slots) * shares[u.region]
@@ -30,15 +34,49 @@
 	return candidates
 }
 
+// obstacleTo returns why a server may not get a call, whatever its rates, or an empty string
+// if it may.
+func (s *Steerer) obstacleTo(c *call, u *upstream) string {
+	if reason := s.obstacle(u); reason != "" {
+		return reason
+	}
+	switch {
+	case !regionAllowed(c.route.HomeRegions, u.region):
+		return "region"
+	case !s.ejectorAllows(c, u):
+		return "half_open"
+	}
+	return ""
+}
+
+// obstacleNow returns why a server may not get a call at the moment, its rates and earlier
+// attempts included, or an empty string if it may.
+func (s *Steerer) obstacleNow(c *call, u *upstream) string {
+	if reason := s.obstacleTo(c, u); reason != "" {
+		return reason
+	}
+	if c.tried[u.ID] {
+		return obstacleTried
+	}
+	return s.rateObstacle(u)
+}
+
+// rateObstacle returns which rate of a server leaves no room for another request of this
+// instance, or an empty string if none does.
+func (s *Steerer) rateObstacle(u *upstream) string {
+	switch {
+	case !s.limitAllows(u):
+		return "limit"
+	case !s.coldLimitAllows(u):
+		return "cold"
+	}
+	return ""
+}
+
 // hasRoom reports whether the rates of a server leave room for another request of this
 // instance.
 func (s *Steerer) hasRoom(u *upstream) bool {
-	return s.limitAllows(u) && s.coldLimitAllows(u)
-}
-
-// available reports whether a server may get requests at all, whatever their rate.
-func (s *Steerer) available(u *upstream) bool {
-	return s.obstacle(u) == ""
+	return s.rateObstacle(u) == ""
 }
 
 // obstacle returns why a server may get no requests, or an empty string if it may.
--- a/internal/steerer/placement.go
+++ b/internal/steerer/placement.go
@@ -43,6 +43,9 @@
 	estimate
 	// eligible is the number of servers that were compared.
 	eligible int
+	// obstacles counts the service's servers by the reason why each may not get the call, if
+	// none may.
+	obstacles map[string]int
 }
 
 // estimate is a server's expected response time for one call and what it is based
@@ -88,7 +91,11 @@
 // want a pause, and the caller is told when the next request fits, or none is available.
 func (s *Steerer) noChoice(c *call) choice {
 	wait := time.Duration(math.MaxInt64)
+	obstacles := make(map[string]int)
 	for _, u := range s.service(c.service).servers {
+		if reason := s.obstacleNow(c, u); reason != "" {
+			obstacles[reason]++
+		}
 		if !regionAllowed(c.route.HomeRegions, u.region) || c.tried[u.ID] {
 			continue
 		}
@@ -97,9 +104,9 @@
 		}
 	}
 	if wait == math.MaxInt64 {
-		return choice{refusal: traffic.NoServer, retryAfter: defaultRetryAfter}
+		return choice{refusal: traffic.NoServer, retryAfter: defaultRetryAfter, obstacles: obstacles}
 	}
-	return choice{refusal: traffic.Overloaded, retryAfter: wait}
+	return choice{refusal: traffic.Overloaded, retryAfter: wait, obstacles: obstacles}
 }
 
 // waitFor returns the time until a server may get a call. waits is false if that is not a
--- a/internal/steerer/record.go
+++ b/internal/steerer/record.go
@@ -61,6 +61,9 @@
 		attributes = append(attributes, attr("expected", c.lastChoice.expected), attr("at_hand", c.lastChoice.cached),
 			attr("server_load", math.Round(c.lastChoice.load*10)/10), attr("load_age", c.lastChoice.loadAge))
 	}
+	if len(c.lastChoice.obstacles) > 0 {
+		attributes = append(attributes, attr("obstacles", c.lastChoice.obstacles))
+	}
 	if c.attempts == 0 {
 		return attributes
 	}
--- a/internal/steerer/record_test.go
+++ b/internal/steerer/record_test.go
@@ -80,3 +80,34 @@
 	_, own := line["instance"]
 	assert.Assert(t, !own)
 }
+
+// A refusal tells why each server of the service gets nothing, so that an operator need not
+// look for it in other lines.
+func TestRefusalCountsObstacles(t *testing.T) {
+	draining := server("draining", "a1")
+	draining.Draining = true
+	cold := server("cold", "a1")
+	cold.Cold = time.Minute
+	b := newReadyBench(t, draining, cold, server("evacuated", "b1"), server("leaving", "a2"), server("paused", "a2"))
+	b.handle(traffic.EvacuationSeen{Domain: "b1"})
+	leaving := successOutcome()
+	leaving.Reply.Leaving = true
+	b.endAttempt(b.sendTo("leaving"), leaving)
+	paused := rejectedOutcome()
+	paused.Reply.Pause = 20 * time.Second
+	b.endAttempt(b.sendTo("paused"), paused)
+	for range 50 {
+		_, effects := b.request("/order/1", "7")
+		send, ok := findEffect[traffic.Send](effects)
+		if ok {
+			assert.Equal(t, send.Upstream.ID, "cold")
+			b.endAttempt(send, successOutcome())
+			continue
+		}
+		counts, ok := attributes(t, effects, "request refused")["obstacles"].Any().(map[string]int)
+		assert.Assert(t, ok)
+		assert.DeepEqual(t, counts, map[string]int{"draining": 1, "cold": 1, "evacuated": 1, "leaving": 1, "pause": 1})
+		return
+	}
+	t.Fatal("no request was refused")
+}
