Let no key of a log line occur twice; log a restoration once

The lines about servers that join and about evacuations had the key failure_domain twice, once for the instance and once for what the line is about, and readers of the JSON saw one of the two. They say server_domain and evacuated_domain now. A restoration was logged by the follower and by the reducer, and the arithmetic of milliseconds stood twice.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -135,8 +135,7 @@
 		return
 	}
 	if f.revision > 0 {
-		f.Logger.Info("store restored from a copy", "era", changes.Era, "revision", changes.Revision)
-		f.Handle(traffic.StoreRestored{Revision: changes.Revision})
+		f.Handle(traffic.StoreRestored{Era: changes.Era, Revision: changes.Revision})
 		f.rereadAt = time.Now().Add(f.Times.RestorationWait() + f.Times.CallTime())
 	}
 	f.era = changes.Era
--- a/internal/follower/report.go
+++ b/internal/follower/report.go
@@ -26,10 +26,10 @@
 	if len(changes.Events) >= largeBatch || slices.ContainsFunc(changes.Events, traffic.IsUrgent) {
 		attributes := []any{
 			"source", sourceName(changes), "events", len(changes.Events), "revision", changes.Revision,
-			"more", changes.More, "call_ms", milliseconds(received.Sub(started)), "apply_ms", milliseconds(applied.Sub(received)),
+			"more", changes.More, "call_ms", traffic.Milliseconds(received.Sub(started)), "apply_ms", traffic.Milliseconds(applied.Sub(received)),
 		}
 		if !f.upToDateAt.IsZero() {
-			attributes = append(attributes, "waited_ms", milliseconds(started.Sub(f.upToDateAt)))
+			attributes = append(attributes, "waited_ms", traffic.Milliseconds(started.Sub(f.upToDateAt)))
 		}
 		f.Logger.Info("changes applied", attributes...)
 	}
@@ -52,7 +52,3 @@
 	}
 	return changes.Source
 }
-
-func milliseconds(d time.Duration) float64 {
-	return float64(d.Microseconds()) / float64(time.Millisecond/time.Microsecond)
-}
--- a/internal/steerer/belief.go
+++ b/internal/steerer/belief.go
@@ -52,7 +52,7 @@
 		return
 	}
 	s.evacuated[domain] = true
-	s.recordStateChange("evacuation", attr("failure_domain", domain))
+	s.recordStateChange("evacuation", attr("evacuated_domain", domain))
 }
 
 // handleEvacuationGone makes a failure domain's servers eligible again. They
@@ -64,7 +64,7 @@
 	}
 	delete(s.evacuated, domain)
 	s.coldDomains[domain] = s.now.Add(s.longestColdPeriod())
-	s.recordStateChange("evacuation ended", attr("failure_domain", domain))
+	s.recordStateChange("evacuation ended", attr("evacuated_domain", domain))
 }
 
 func (s *Steerer) handleEvacuationsListed(domains map[string]bool) {
--- a/internal/steerer/record.go
+++ b/internal/steerer/record.go
@@ -11,7 +11,7 @@
 
 func attr(key string, value any) slog.Attr {
 	if d, ok := value.(time.Duration); ok {
-		return slog.Float64(key+"_ms", float64(d.Microseconds())/float64(time.Millisecond/time.Microsecond))
+		return slog.Float64(key+"_ms", traffic.Milliseconds(d))
 	}
 	return slog.Any(key, value)
 }
--- a/internal/steerer/restoration.go
+++ b/internal/steerer/restoration.go
@@ -54,7 +54,7 @@
 	wait := s.times().RestorationWait()
 	s.store.restoredUntil = s.now.Add(wait)
 	s.store.recordsDueAt = s.store.restoredUntil
-	s.recordStateChange("store restored", attr("revision", e.Revision), attr("kept_for", wait))
+	s.recordStateChange("store restored", attr("era", e.Era), attr("revision", e.Revision), attr("kept_for", wait))
 	s.handleOwnRecordGone(e.Revision)
 }
 
--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -149,7 +149,7 @@
 	s.upstreams[r.ID] = u
 	svc := s.service(r.Service)
 	svc.servers = append(svc.servers, u)
-	s.recordStateChange("server joined", attr("server", r.ID), attr("service", r.Service), attr("failure_domain", r.Domain),
+	s.recordStateChange("server joined", attr("server", r.ID), attr("service", r.Service), attr("server_domain", r.Domain),
 		attr("slots", r.Slots), attr("revision", r.Revision))
 	s.applyStoredLimit(u)
 	return u
--- a/internal/steerer/world_test.go
+++ b/internal/steerer/world_test.go
@@ -59,7 +59,24 @@
 
 func (b *testBench) handle(e traffic.Event) []traffic.Effect {
 	b.t.Helper()
-	return append([]traffic.Effect(nil), b.Reduce(b.now, e)...)
+	effects := append([]traffic.Effect(nil), b.Reduce(b.now, e)...)
+	for _, x := range effects {
+		if r, ok := x.(traffic.Record); ok {
+			b.checkKeys(r)
+		}
+	}
+	return effects
+}
+
+// checkKeys checks that no key of a log line occurs twice, together with those that each
+// line of a process has: readers of the line would see one of the two only.
+func (b *testBench) checkKeys(r traffic.Record) {
+	b.t.Helper()
+	seen := map[string]bool{"time": true, "level": true, "msg": true, "instance": true, "failure_domain": true}
+	for _, a := range r.Attributes {
+		assert.Check(b.t, !seen[a.Key], "%s: the key %s occurs twice", r.Message, a.Key)
+		seen[a.Key] = true
+	}
 }
 
 func (b *testBench) advance(d time.Duration) *testBench {
--- a/internal/traffic/effect.go
+++ b/internal/traffic/effect.go
@@ -5,6 +5,11 @@
 	"time"
 )
 
+// Milliseconds returns a duration as log lines give it.
+func Milliseconds(d time.Duration) float64 {
+	return float64(d.Microseconds()) / float64(time.Millisecond/time.Microsecond)
+}
+
 // Admit accepts a request and sets a timer for its deadline. At Until the reducer
 // expects an Expired event.
 type Admit struct {
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -111,6 +111,8 @@
 // StoreRestored reports that the store has come back from a copy. What was written since the
 // copy was made is gone until it is written again.
 type StoreRestored struct {
+	// Era is the store's new era.
+	Era int64
 	// Revision is the store revision as of which this is known.
 	Revision int64
 }
