Say which requests find no memory, and when their callers may come back

Requests for which there is no memory, or whose body is too large or can not be read, were refused without a line of their own; a response that broke off while it was passed on was not logged either. Both have lines with the ID now, and the reason is no_memory in place of overloaded. Callers refused together were all told one second; they are told half to one and a half.

The review rig tells how long the orders beside the disruption take.

--- a/internal/receiver/deliver.go
+++ b/internal/receiver/deliver.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -46,6 +47,14 @@
 		r.count("answers.streamed")
 	}
 	if err != nil {
+		r.Carrier.Record(traffic.Record{
+			Level:   slog.LevelWarn,
+			Message: "response cut",
+			Attributes: []slog.Attr{
+				slog.String("request", reply.RequestID), slog.Int("status", reply.Status), slog.Int64("length", reply.Length),
+				slog.Int64("passed_on", streamed), slog.String("error", err.Error()),
+			},
+		})
 		// The response is not whole and must not look so.
 		r.abandon("answers.cut")
 	}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -11,7 +11,9 @@
 
 import (
 	"errors"
+	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -33,6 +35,9 @@
 	// requestBytes is what each request in progress needs at least: the head and the buffers
 	// of its connections, a small body, and the part of a response that is written at a time.
 	requestBytes = 16<<10 + SmallBodyBytes + ResponseBytes
+	// memoryRetryAfter is the mean Retry-After delay of requests for which there is no memory.
+	// Callers that are refused together come back over twice this time.
+	memoryRetryAfter = time.Second
 )
 
 // Receiver answers HTTP requests. Set the fields before the first request.
@@ -60,7 +65,7 @@
 	request := r.Codec.DecodeRequest(req)
 	needed := traffic.Loan{Holder: traffic.RequestMemory, Bytes: requestBytes}
 	if !r.Bodies.Accountant.Borrow(needed) {
-		r.refuseBody(w, collector.ErrMemory)
+		r.refuseUnread(w, request, collector.ErrMemory)
 		return
 	}
 	defer r.Bodies.Accountant.Return(needed)
@@ -68,7 +73,7 @@
 	body, err := r.readBody(w, req, limit, loan)
 	if err != nil {
 		r.Bodies.Release(body, loan)
-		r.refuseBody(w, err)
+		r.refuseUnread(w, request, err)
 		return
 	}
 	if callerLeft(req.Context()) {
@@ -133,17 +138,27 @@
 	return r.Bodies.Read(http.MaxBytesReader(w, req.Body, limit), req.ContentLength, loan)
 }
 
-// refuseBody answers a request whose body could not be read in full.
-func (r *Receiver) refuseBody(w http.ResponseWriter, err error) {
+// refuseUnread answers a request that could not be read in full.
+func (r *Receiver) refuseUnread(w http.ResponseWriter, request traffic.Request, err error) {
+	refusal := traffic.Refuse{Reason: traffic.BadRequest, Fate: traffic.NotRun}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, collector.ErrMemory):
-		r.refuse(w, traffic.Refuse{Reason: traffic.Overloaded, Fate: traffic.NotRun, RetryAfter: time.Second})
+		refusal.Reason = traffic.NoMemory
+		refusal.RetryAfter = memoryRetryAfter/2 + rand.N(memoryRetryAfter)
 	case errors.As(err, &tooLarge):
-		r.refuse(w, traffic.Refuse{Reason: traffic.TooLarge, Fate: traffic.NotRun})
-	default:
-		r.refuse(w, traffic.Refuse{Reason: traffic.BadRequest, Fate: traffic.NotRun})
+		refusal.Reason = traffic.TooLarge
 	}
+	r.Carrier.Record(traffic.Record{
+		Level:   slog.LevelWarn,
+		Message: "request refused",
+		Attributes: []slog.Attr{
+			slog.String("request", request.ID), slog.String("host", request.Host), slog.String("path", request.Path),
+			slog.String("reason", string(refusal.Reason)), slog.String("fate", string(refusal.Fate)),
+			slog.Float64("retry_after_ms", traffic.Milliseconds(refusal.RetryAfter)), slog.String("error", err.Error()),
+		},
+	})
+	r.refuse(w, refusal)
 }
 
 // closeIfNotKept makes a response close its connection if this instance stops, also one to a
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -109,6 +109,7 @@
 	NoPolicy    Refusal = "no_policy"
 	NoServer    Refusal = "no_server"
 	Overloaded  Refusal = "overloaded"
+	NoMemory    Refusal = "no_memory"
 	TooLate     Refusal = "too_late"
 	Interrupted Refusal = "interrupted"
 	Stopping    Refusal = "stopping"
--- a/review/rig/memory.go
+++ b/review/rig/memory.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 	stop  chan struct{}
 	sent  atomic.Int64
 	lost  atomic.Int64
+	mutex sync.Mutex
+	// took holds how long the orders that were answered took.
+	took []time.Duration
 }
 
 func (b *bystanders) start(count int) {
@@ -60,6 +64,9 @@
 		b.sent.Add(1)
 		used++
 		if a.whole {
+			b.mutex.Lock()
+			b.took = append(b.took, time.Since(begin))
+			b.mutex.Unlock()
 			continue
 		}
 		conn.Close()
@@ -78,6 +85,10 @@
 	const allowed = 3
 	close(b.stop)
 	b.wait.Wait()
+	slices.Sort(b.took)
+	if n := len(b.took); n > 0 {
+		b.rig.logf("%d orders were answered, half of them within %v, 99 in 100 within %v", n, b.took[n/2], b.took[n*99/100])
+	}
 	killed, peakMB := b.front.memory()
 	b.rig.logf("%s was killed %d times because of its memory; it held %d MB at most", b.front.name, killed, peakMB)
 	b.rig.logf("LOST: of %d orders on kept connections %d were passed on to a server and got no answer; %d are allowed",
