Find the route of a request without comparing it with all routes

A radix tree was ruled out: prefixes end with a slash, so the slashes of a path are the only places to look at, up to the longest prefix.

--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -20,9 +20,9 @@
 
 import (
 	"reflect"
-	"strings"
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/matcher"
 	"github.com/yuccathread/yuccathread/internal/measurer"
 	"github.com/yuccathread/yuccathread/internal/pacer"
 	"github.com/yuccathread/yuccathread/internal/splitter"
@@ -46,8 +46,10 @@
 	// them apart: a store that has come back from a copy may give one out again.
 	policyNumber uint64
 	routes       map[string]*route
-	services     map[string]*service
-	upstreams    map[string]*upstream
+	// matcher finds the route of a request.
+	matcher   matcher.Matcher[*route]
+	services  map[string]*service
+	upstreams map[string]*upstream
 	// formerPacers holds the pacers of removed servers, whose records may return.
 	formerPacers map[process]*pacer.Pacer
 	// notices holds what servers' processes have said of themselves, of those that have
@@ -276,6 +278,10 @@
 		routes[r.Name] = existing
 	}
 	s.routes = routes
+	s.matcher = matcher.Matcher[*route]{}
+	for _, r := range e.Policy.Routes {
+		s.matcher.Add(r.Host, r.Prefix, routes[r.Name])
+	}
 	policy := e.Policy
 	s.policy = &policy
 	for _, u := range s.upstreams {
@@ -296,18 +302,10 @@
 }
 
 // match returns the route of the host with the longest prefix that matches the
-// path.
+// path, or nil.
 func (s *Steerer) match(host, path string) *route {
-	var best *route
-	for _, r := range s.routes {
-		if !strings.EqualFold(r.Host, host) || !strings.HasPrefix(path, r.Prefix) {
-			continue
-		}
-		if best == nil || len(r.Prefix) > len(best.Prefix) {
-			best = r
-		}
-	}
-	return best
+	r, _ := s.matcher.Match(host, path)
+	return r
 }
 
 func (s *Steerer) service(name string) *service {
