Let a panic end one request or one event, with a line that tells why

A panic in a decision ended the process, with a stack that no log line explained; one in a handler was logged at the level debug only. Now the event is lost, the call that it is about ends with an unknown fate, and a line at the level error has the event, the error and the stack. Ending the process with that line was weighed: it is cleaner, but the same record is there at the next start.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -119,7 +119,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	var result traffic.LookUpResult
-	for _, effect := range c.Steerer.Reduce(c.Clock.Now(), traffic.LookUpRequested{Query: q}) {
+	for _, effect := range c.decide(traffic.LookUpRequested{Query: q}) {
 		if r, ok := effect.(traffic.LookUpResult); ok {
 			result = r
 		}
@@ -135,7 +135,7 @@
 }
 
 func (c *Carrier) reduce(e traffic.Event) {
-	for _, effect := range c.Steerer.Reduce(c.Clock.Now(), e) {
+	for _, effect := range c.decide(e) {
 		c.execute(effect)
 	}
 }
@@ -221,7 +221,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	allowed := false
-	for _, effect := range c.Steerer.Reduce(c.Clock.Now(), traffic.Starting{Call: e.Call, Attempt: e.Attempt}) {
+	for _, effect := range c.decide(traffic.Starting{Call: e.Call, Attempt: e.Attempt}) {
 		if _, ok := effect.(traffic.Start); ok {
 			allowed = true
 			continue
--- a/internal/receiver/deliver_test.go
+++ b/internal/receiver/deliver_test.go
@@ -160,3 +160,26 @@
 	assert.Assert(t, len(times) > 10)
 	assert.Equal(t, decided.Load(), int64(20), "not each refusal has its line")
 }
+
+// panickingCodec stands for a request that no check has foreseen.
+type panickingCodec struct{ traffic.Codec }
+
+func (panickingCodec) DecodeRequest(*http.Request) traffic.Request { panic("odd request") }
+
+// A panic of a handler closes its connection, tells why, and gives back what was borrowed.
+func TestPanicOfAHandler(t *testing.T) {
+	var decided atomic.Int64
+	r := newCallerReceiver(&decided)
+	r.Codec = panickingCodec{}
+	gate := make(chan struct{})
+	close(gate)
+	server := newCallerServer(r, gate)
+	listener := listen(t)
+	go server.Serve(listener)
+	_, _, err := get(t, dial(t, listener, ""), "1.1")
+	assert.Assert(t, err != nil)
+	assert.Equal(t, decided.Load(), int64(1))
+	server.Close()
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, r.Bodies.Accountant.Lent(), int64(0))
+}
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -61,6 +61,7 @@
 
 // Serve forwards a caller's request to an upstream server and writes the response.
 func (r *Receiver) Serve(w http.ResponseWriter, req *http.Request) {
+	defer r.logPanic(req)
 	receivedAt := r.Clock.Now()
 	request := r.Codec.DecodeRequest(req)
 	needed := traffic.Loan{Holder: traffic.RequestMemory, Bytes: requestBytes}
@@ -97,6 +98,18 @@
 	r.timer("request").UpdateSince(receivedAt)
 }
 
+// logPanic logs a panic of a handler, which closes its connection and no other.
+func (r *Receiver) logPanic(req *http.Request) {
+	failure := recover()
+	if failure == nil {
+		return
+	}
+	if err, ok := failure.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		r.Carrier.RecordPanic("panic in a request", failure, slog.String("host", req.Host), slog.String("path", req.URL.Path))
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // abandon closes the connection of a caller that has left, and counts it. A return without
 // a response would send an empty success to a caller that has only closed its sending
 // side.
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -247,6 +247,11 @@
 	return len(s.calls)
 }
 
+// Forget drops a call whose events can't be handled.
+func (s *Steerer) Forget(call uint64) {
+	delete(s.calls, call)
+}
+
 // times returns the intervals that follow from the bounds in the settings.
 func (s *Steerer) times() *timekeeper.Timekeeper {
 	return &timekeeper.Timekeeper{Bounds: s.Settings.Bounds}
