--- a/internal/steerer/session_test.go
+++ b/internal/steerer/session_test.go
@@ -93,6 +93,7 @@
 		s.end(x.Call)
 	case traffic.Refuse:
 		s.refused++
+		assert.Assert(s.t, x.Reason != traffic.NoRoute || s.Synced(), "seed %d: an instance that knows no configuration denies a route", s.seed)
 		c := s.end(x.Call)
 		assert.Assert(s.t, x.Fate != traffic.NotRun || c.reached == 0 && len(c.started) == 0,
 			"seed %d: a request that may have run is refused as not run", s.seed)
