Let a call to the store in place of a reader end sooner

Its readers were lost; the call to the store in their place began while its path was cut for a moment, and waited as long as a call without readers may, 68 % of the reconnect bound; then it asked a reader that hung, heard that the history is gone, and read all. Each step is within its bound, and they were never added up with readers between them: 68 + 12 + 20 + 12 % and two calls.

Such a call waits 14 % and may respond 14 % later, and calls to readers follow from the shorter of the two bounds. Skipping the readers after a failed call was ruled out: an instance that the store turns away has only them. The price is calls: about three in place of one while the readers of a region are lost.

TestSilentCallBesideLostReaders failed before at the first or third step; TestChainsEndWithinTheirBounds has the chain.

--- a/internal/relayer/late_news_test.go
+++ b/internal/relayer/late_news_test.go
@@ -236,3 +236,36 @@
 		}
 	}
 }
+
+// Guards against CONFIG, the news after a silent call: the readers of a region are lost, and
+// a call of an instance to the store gets no response, since its path was cut for a moment.
+// The store drops its history meanwhile. The instance must follow the store again within the
+// bound from the moment at which its path is back.
+func TestSilentCallBesideLostReaders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, end := startTest(t)
+		defer end()
+		d := &region{history: newHistory(), times: times(), perEvent: 200 * time.Microsecond}
+		d.start(ctx, 8, 2)
+		time.Sleep(10 * time.Second)
+		for step := range 30 {
+			x := d.instances[7]
+			x.client.disconnect()
+			d.history.change()
+			d.history.drop()
+			d.history.change()
+			time.Sleep(time.Duration(1+step) * 4 * time.Millisecond)
+			x.client.reconnect()
+			for _, reader := range d.instances[:2] {
+				reader.dead.Store(true)
+			}
+			time.Sleep(d.times.Bounds.Reconnect.Duration)
+			synctest.Wait()
+			assert.Equal(t, x.applied, d.history.version(), "step %d", step)
+			for _, reader := range d.instances[:2] {
+				reader.dead.Store(false)
+			}
+			time.Sleep(20 * time.Second)
+		}
+	})
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -186,6 +186,9 @@
 	pause := r.Times.Pause()
 	if len(readers.Addresses) > 0 {
 		pause = r.Times.FallbackPause()
+		// If this call gets no response, the readers are asked again before the next one.
+		wait = min(wait, r.Times.FallbackWait())
+		stallTimeout = min(stallTimeout, wait+r.Times.FallbackTimeout())
 	}
 	changes, err := r.followStore(ctx, after, wait, stallTimeout, pause)
 	return r.withoutEarly(changes), err
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -6,6 +6,8 @@
 //	lost reader:   its age, a relayed call, call                      <= Drain, Apply, Evacuation
 //	no reader:     call, fallback pause, a relayed call, call         <= Drain, Apply, Evacuation
 //	deaf watch:    wait, timeout, retry delay, full read              <= Reconnect
+//	silent call:   fallback wait and timeout, retry delay, a relayed
+//	               call, retry delay, full read                       <= Reconnect
 //	left server:   probe of the store, retry delay, record wait       <= Reconnect
 //	new instance:  pause, call                                        <= JoinDelay
 //	dead instance: lease, pause, call                                 <= Reconnect + removalSlack
@@ -45,10 +47,13 @@
 	readerAgePercent     = 60
 	relayLimitPercent    = 62
 	fallbackPausePercent = 40
-	maxCallPercent       = 10
-	exitMarginPercent    = 7
-	answerMarginPercent  = 3
-	workWindowPercent    = 45
+	// The wait and the timeout of a call to the store in place of one to a reader.
+	fallbackWaitPercent    = 14
+	fallbackTimeoutPercent = 14
+	maxCallPercent         = 10
+	exitMarginPercent      = 7
+	answerMarginPercent    = 3
+	workWindowPercent      = 45
 	// Look-ups must not name a stopping instance later than this part of the grace time,
 	// and the others must know of the stop within stopNewsPercent of it.
 	lookUpDrainPercent = 80
@@ -126,12 +131,28 @@
 
 // RelayWait is how long a call to such an instance waits for changes.
 func (k *Timekeeper) RelayWait() time.Duration {
-	return k.changeBound() * relayWaitPercent / 100
+	return k.relayBound() * relayWaitPercent / 100
+}
+
+// relayBound is the bound of which a call to such an instance is a part: it comes in the
+// chains of changes and of a silent call.
+func (k *Timekeeper) relayBound() time.Duration {
+	return min(k.changeBound(), k.Bounds.Reconnect.Duration)
 }
 
 // RelayTimeout is how much later than its wait such a call may respond.
 func (k *Timekeeper) RelayTimeout() time.Duration {
-	return k.changeBound() * relayTimeoutPercent / 100
+	return k.relayBound() * relayTimeoutPercent / 100
+}
+
+// FallbackWait is how long a call to the store waits for changes if no reader has them.
+func (k *Timekeeper) FallbackWait() time.Duration {
+	return k.Bounds.Reconnect.Duration * fallbackWaitPercent / 100
+}
+
+// FallbackTimeout is how much later than its wait such a call may respond.
+func (k *Timekeeper) FallbackTimeout() time.Duration {
+	return k.Bounds.Reconnect.Duration * fallbackTimeoutPercent / 100
 }
 
 // ReaderAge is the greatest age of what an instance that follows the store for others may
--- a/internal/timekeeper/timekeeper_test.go
+++ b/internal/timekeeper/timekeeper_test.go
@@ -59,6 +59,9 @@
 		}
 		longestRetryDelay := k.RetryDelay() * 3 / 2
 		assert.Assert(t, k.FollowWait()+k.FollowTimeout()+longestRetryDelay+call < b.Reconnect.Duration, "%+v", b)
+		hungReader := k.RelayWait() + k.RelayTimeout()
+		silentCall := k.FallbackWait() + k.FallbackTimeout() + longestRetryDelay + hungReader + call + longestRetryDelay
+		assert.Assert(t, silentCall+call <= b.Reconnect.Duration, "%+v", b)
 		for _, sinceFailure := range []time.Duration{0, k.ProbeTimeout(), k.ReadTimeout() + longestRetryDelay, b.Reconnect.Duration} {
 			wait := k.LapsedRecordWait(sinceFailure)
 			assert.Assert(t, sinceFailure >= b.Reconnect.Duration || sinceFailure+wait+call < b.Reconnect.Duration, "%+v", b)
