--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -35,6 +35,9 @@
 	// Pause returns the pause after a call that returned changes; if it is nil, Times
 	// gives the pause.
 	Pause func() time.Duration
+	// Random returns a number from 0 up to but not including n, for delays that spread the
+	// calls of instances; if it is nil, the numbers differ in each process.
+	Random func(n time.Duration) time.Duration
 
 	revision int64
 	// era is the store's era as of revision, and rereadAt the time at which all records are
@@ -67,11 +70,11 @@
 			f.Logger.Info("store history dropped", "revision", f.revision)
 			f.synced = false
 			// All instances notice this at the same time; the random delay spreads their reads.
-			sleep(ctx, jitter(f.Times.RetryDelay()))
+			sleep(ctx, f.jitter(f.Times.RetryDelay()))
 		case err != nil:
 			f.failedCallAt = started
 			f.storeFailed(err)
-			sleep(ctx, jitter(f.Times.RetryDelay()))
+			sleep(ctx, f.jitter(f.Times.RetryDelay()))
 		default:
 			f.applyAndReport(changes, started)
 			if f.synced && !changes.More && len(changes.Events) > 0 {
@@ -158,8 +161,11 @@
 }
 
 // jitter returns a random duration between 0.5 and 1.5 times the mean.
-func jitter(mean time.Duration) time.Duration {
-	return mean/2 + rand.N(mean)
+func (f *Follower) jitter(mean time.Duration) time.Duration {
+	if f.Random == nil {
+		return mean/2 + rand.N(mean)
+	}
+	return mean/2 + f.Random(mean)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/relayer/model_test.go
+++ b/internal/relayer/model_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -190,6 +192,17 @@
 	perEvent time.Duration
 	// lags holds how slow instances are to handle a response of the store, by number.
 	lags map[int]time.Duration
+	// seed makes the random delays of instances the same each time; zero leaves them random.
+	seed uint64
+}
+
+// random returns the source of an instance's random delays.
+func (d *region) random(number int) func(time.Duration) time.Duration {
+	if d.seed == 0 {
+		return nil
+	}
+	source := rand.New(rand.NewPCG(d.seed, uint64(number)))
+	return func(n time.Duration) time.Duration { return time.Duration(source.Int64N(int64(n))) }
 }
 
 type instance struct {
@@ -250,14 +263,18 @@
 		}
 		f := follower.Follower{
 			Store: x.relayer, Logger: slog.New(slog.DiscardHandler), Times: d.times, Pause: x.relayer.Pause,
-			Handle: func(e traffic.Event) { d.apply(x, e) },
+			Handle: func(e traffic.Event) { d.apply(x, e) }, Random: d.random(i),
 		}
 		go f.Run(ctx)
 	}
 }
 
 func (d *region) call(address string, query traffic.ChangesQuery) (traffic.ChangesReply, error) {
-	x := d.instances[address[0]-'0']
+	number, err := strconv.Atoi(address)
+	if err != nil {
+		return traffic.ChangesReply{}, err
+	}
+	x := d.instances[number]
 	var reply traffic.ChangesReply
 	if x.dead.Load() {
 		time.Sleep(d.times.RelayWait() + d.times.RelayTimeout())
