Use no reply of another instance that can not be true

A reply with more events than revisions ended the instance that had asked for it (index out of range, in a goroutine of its own); one without an event, with a negative revision, age or wait was believed. Replies come from instances of other builds too. Such a reader is left out for the time of a lease, and the next one or the store is asked. Found by reading on the way of the last fault.

TestOddReplies: six of seven cases failed before, one of them by a panic.

--- a/internal/relayer/asker.go
+++ b/internal/relayer/asker.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/traffic"
@@ -24,6 +25,8 @@
 			// The record of a reader that has ended is gone after the time of a lease.
 			r.suspect(address, r.Times.Lease(), err.Error())
 			hung++
+		case isOdd(reply):
+			r.suspect(address, r.Times.Lease(), reasonOdd)
 		case !reply.Available:
 			r.suspect(address, r.Times.RelayWait(), reply.Reason)
 		default:
@@ -41,6 +44,15 @@
 	return !r.storeFailed && r.Clock.Now().Sub(r.knownAt) > r.Times.RelayLimit()
 }
 
+// isOdd reports whether a reply can't be true: the instance that gave it has another build or
+// a fault.
+func isOdd(reply traffic.ChangesReply) bool {
+	if len(reply.Events) != len(reply.Revisions) || reply.Age < 0 || reply.Waited < 0 {
+		return true
+	}
+	return slices.Contains(reply.Events, nil) || slices.ContainsFunc(reply.Revisions, func(revision int64) bool { return revision < 0 })
+}
+
 // accept returns the changes in a reply.
 func (r *Relayer) accept(address string, after int64, asked time.Time, reply traffic.ChangesReply) traffic.Changes {
 	changes := r.withoutEarly(traffic.Changes{
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -62,6 +62,7 @@
 	reasonOld      = "is not up to date"
 	reasonHistory  = "does not have the changes"
 	reasonBusy     = "serves too many"
+	reasonOdd      = "sends what can't be true"
 )
 
 // Relayer is a traffic.Store that gets changes from other instances if it can. Set the
