Count the wait of a relayed call by the clock of the one that asked

A machine that was suspended during a call to a reader takes less time for it, by its own clock, than the reader says it has waited. The difference was added to the time up to which all changes are known: the instance took itself to be up to date, and did not ask the store, for as long as it had been suspended.

TestReplyAcrossASuspension: its knowledge was "-59m59s" old before.

--- a/internal/relayer/asker.go
+++ b/internal/relayer/asker.go
@@ -62,7 +62,9 @@
 	defer r.mutex.Unlock()
 	r.pause = 0
 	if !reply.More {
-		r.known(asked.Add(reply.Waited - reply.Age))
+		// If this machine was suspended during the call, it took less time here than there.
+		waited := min(reply.Waited, r.Clock.Now().Sub(asked))
+		r.known(asked.Add(waited - reply.Age))
 	}
 	for i, e := range changes.Events {
 		if revision := changes.Revisions[i]; revision > changes.Revision {
--- a/internal/relayer/odd_reply_test.go
+++ b/internal/relayer/odd_reply_test.go
@@ -72,3 +72,15 @@
 		})
 	}
 }
+
+// Guards against an instance that takes itself to be up to date for as long as its machine
+// was suspended: its own clock has not counted that time, the reader's has.
+func TestReplyAcrossASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := relayerWithReply(t, &emptyStore{}, traffic.ChangesReply{Available: true, Revision: 5, Waited: time.Hour})
+		_, err := r.Follow(t.Context(), 5, time.Second, 2*time.Second)
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		assert.Assert(t, r.Age() >= time.Second, "%v", r.Age())
+	})
+}
