--- a/internal/relayer/search_test.go
+++ b/internal/relayer/search_test.go
@@ -42,7 +42,7 @@
 func (s *search) step() {
 	n := s.draw.IntN(len(s.instances))
 	x := s.instances[n]
-	switch s.draw.IntN(14) {
+	switch s.draw.IntN(15) {
 	case 0, 1:
 		x.dead.Store(!x.dead.Load())
 		s.notef("instance %d dead for others: %v", n, x.dead.Load())
@@ -68,6 +68,12 @@
 	case 4:
 		go s.history.changeServers(50*s.draw.IntN(20), 3000)
 		s.notef("servers change")
+	case 5:
+		if s.draw.IntN(4) == 0 {
+			s.history.restore(s.draw.Int64N(30))
+			s.coreAt = time.Now().Add(s.times.RestorationWait())
+			s.notef("store restored from a copy")
+		}
 	default:
 		s.history.change()
 		s.notef("version %d", s.history.revision)
