--- a/internal/relayer/model_test.go
+++ b/internal/relayer/model_test.go
@@ -287,7 +287,16 @@
 	return reply, d.transfer(x, len(reply.Events), started)
 }
 
+// state returns an instance's version and what is wrong with the order of its changes.
+func (d *region) state(x *instance) (applied int64, fault string) {
+	d.history.mutex.Lock()
+	defer d.history.mutex.Unlock()
+	return x.applied, x.fault
+}
+
 func (d *region) apply(x *instance, e traffic.Event) {
+	d.history.mutex.Lock()
+	defer d.history.mutex.Unlock()
 	if server, ok := e.(traffic.UpstreamSeen); ok {
 		if server.Upstream.Revision < x.servers[server.Upstream.ID] {
 			x.fault = fmt.Sprintf("revision %d of a server after %d", server.Upstream.Revision, x.servers[server.Upstream.ID])
@@ -303,8 +312,6 @@
 		x.fault = fmt.Sprintf("version %d after %d", version, x.applied)
 	}
 	x.applied = version
-	d.history.mutex.Lock()
-	defer d.history.mutex.Unlock()
 	if made, ok := d.history.madeAt[version]; ok {
 		x.slowest = max(x.slowest, time.Since(made))
 	}
--- a/internal/relayer/search_test.go
+++ b/internal/relayer/search_test.go
@@ -20,8 +20,8 @@
 	t *testing.T
 	// draw is what happens, drawn from the region's seed.
 	draw *rand.Rand
-	// touchedAt holds when each instance was last cut off from the store, and coreAt when the
-	// store was last disturbed for all.
+	// touchedAt holds until when each instance was last cut off from the store, and coreAt
+	// until when the store was last disturbed for all.
 	touchedAt []time.Time
 	coreAt    time.Time
 	trace     []string
@@ -50,14 +50,11 @@
 		if s.touchedAt[n].After(time.Now()) {
 			return
 		}
-		s.touchedAt[n] = time.Now().Add(time.Hour)
+		length := time.Duration(s.draw.IntN(5000)) * time.Millisecond
+		s.touchedAt[n] = time.Now().Add(length)
 		x.client.disconnect()
-		s.notef("instance %d loses the store", n)
-		go func(length time.Duration) {
-			time.Sleep(length)
-			x.client.reconnect()
-			s.touchedAt[n] = time.Now()
-		}(time.Duration(s.draw.IntN(5000)) * time.Millisecond)
+		s.notef("instance %d loses the store for %v", n, length)
+		time.AfterFunc(length, x.client.reconnect)
 		time.Sleep(time.Millisecond)
 	case 3:
 		if s.draw.IntN(4) == 0 {
@@ -99,16 +96,17 @@
 	bound := s.times.Bounds.Apply.Duration
 	stable := s.times.Bounds.Reconnect.Duration
 	for n, x := range s.instances {
-		assert.Equal(s.t, x.fault, "", "seed %d, instance %d", s.seed-1, n)
+		applied, fault := s.state(x)
+		assert.Equal(s.t, fault, "", "seed %d, instance %d", s.seed-1, n)
 		age := x.relayer.Age()
-		if known := s.newestBefore(now.Add(-age)); age > 0 && x.applied < known {
-			s.fail("instance %d says that what it knows is %v old, and lacks version %d (it has %d)", n, age, known, x.applied)
+		if known := s.newestBefore(now.Add(-age)); age > 0 && applied < known {
+			s.fail("instance %d says that what it knows is %v old, and lacks version %d (it has %d)", n, age, known, applied)
 		}
 		if now.Sub(s.touchedAt[n]) < stable || now.Sub(s.coreAt) < stable {
 			continue
 		}
-		if due := s.newestBefore(now.Add(-bound)); x.applied < due {
-			s.fail("instance %d is in touch and has version %d, %d was made more than %v ago", n, x.applied, due, bound)
+		if due := s.newestBefore(now.Add(-bound)); applied < due {
+			s.fail("instance %d is in touch and has version %d, %d was made more than %v ago", n, applied, due, bound)
 		}
 	}
 }
