Keep room for urgent requests beside many of a lower rank

With 64 MB and 640 callers that read large responses slowly, half of the orders beside them were refused: what each request in progress needs at least was lent to all ranks alike, and downloads keep it for seconds. Each rank down to the third now leaves 5 % for those above it. The search for a route is cheap since it is by map, so the rank is looked up for each request, and one without a route comes last.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -6,7 +6,7 @@
 // bodies of less urgent requests are refused first, then those of urgent ones, then responses
 // are no longer held whole but passed on while they are read. The last part is for the small
 // amount that each request in progress needs, so that what was sent to a server can always
-// be answered.
+// be answered; the most urgent requests have a part of it to themselves.
 //
 // Usage:
 //
@@ -32,10 +32,10 @@
 	onceResponsePercent = 65
 	responsePercent     = 50
 	bodyPercent         = 40
-	// Each rank down to lowestRank may use bodyRankPercent less for bodies than the one
-	// before it.
-	bodyRankPercent = 5
-	lowestRank      = 3
+	// Each rank down to lowestRank may use rankPercent less for requests and bodies than the
+	// one before it.
+	rankPercent = 5
+	lowestRank  = 3
 	// connectionPercent is the share above which callers' connections are not kept.
 	connectionPercent = 50
 )
@@ -118,14 +118,15 @@
 
 // ceiling returns the bytes that may be on loan after a loan.
 func (a *Accountant) ceiling(loan traffic.Loan) int64 {
-	percent := int64(requestPercent)
+	rankDiscount := rankPercent * int64(min(max(loan.Rank, 0), lowestRank))
+	percent := requestPercent - rankDiscount
 	switch loan.Holder {
 	case traffic.OnceResponseMemory:
 		percent = onceResponsePercent
 	case traffic.ResponseMemory:
 		percent = responsePercent
 	case traffic.BodyMemory:
-		percent = bodyPercent - bodyRankPercent*int64(min(max(loan.Rank, 0), lowestRank))
+		percent = bodyPercent - rankDiscount
 		if a.held[traffic.BodyMemory] == 0 {
 			// Where memory is small, a large body can be accepted while there is no other.
 			percent = responsePercent
--- a/internal/accountant/accountant_test.go
+++ b/internal/accountant/accountant_test.go
@@ -40,6 +40,19 @@
 	assert.Assert(t, last < a.Limit)
 }
 
+// Guards against urgent requests that are refused since many of a lower rank are in progress:
+// callers that read large responses slowly keep what each request needs for seconds. Each rank
+// down to the third leaves room for those above it.
+func TestUrgentRequestsFindRoomBesideOthers(t *testing.T) {
+	a := &Accountant{Limit: 1000}
+	last := int64(0)
+	for _, rank := range []int{9, 2, 1, 0} {
+		lent := fill(a, traffic.RequestMemory, rank)
+		assert.Assert(t, lent > last, "nothing was left for rank %d", rank)
+		last = lent
+	}
+}
+
 // A body that is large for the machine is not refused for ever: it finds room while there is
 // no other one.
 func TestLargeBodyOnASmallMachine(t *testing.T) {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -64,13 +64,14 @@
 	defer r.logPanic(req)
 	receivedAt := r.Clock.Now()
 	request := r.Codec.DecodeRequest(req)
-	needed := traffic.Loan{Holder: traffic.RequestMemory, Bytes: requestBytes}
+	limit, rank := r.terms(request)
+	needed := traffic.Loan{Holder: traffic.RequestMemory, Rank: rank, Bytes: requestBytes}
 	if !r.Bodies.Accountant.Borrow(needed) {
 		r.refuseUnread(w, request, collector.ErrMemory)
 		return
 	}
 	defer r.Bodies.Accountant.Return(needed)
-	limit, loan := r.bodyTerms(request, req.ContentLength)
+	loan := traffic.Loan{Holder: traffic.BodyMemory, Rank: rank}
 	body, err := r.readBody(w, req, limit, loan)
 	if err != nil {
 		r.Bodies.Release(body, loan)
@@ -126,20 +127,16 @@
 	metrics.GetOrRegisterCounter(name, r.Registry).Inc(1)
 }
 
-// bodyTerms returns the maximum size of a request's body, and the loan for its memory. The
-// rank, which takes a search among the routes, counts for bodies that are not small.
-func (r *Receiver) bodyTerms(request traffic.Request, length int64) (int64, traffic.Loan) {
-	limit := r.MaxBodyBytes
-	loan := traffic.Loan{Holder: traffic.BodyMemory}
+// terms returns the maximum size of a request's body, and the rank of the request.
+func (r *Receiver) terms(request traffic.Request) (limit int64, rank int) {
+	limit = r.MaxBodyBytes
 	r.Carrier.View(func(s *steerer.Steerer) {
 		if bytes := s.Limits().BodyBytes; bytes > 0 {
 			limit = bytes
 		}
-		if length < 0 || length > SmallBodyBytes {
-			loan.Rank = s.Rank(request)
-		}
+		rank = s.Rank(request)
 	})
-	return limit, loan
+	return limit, rank
 }
 
 // readBody reads a complete body of at most limit bytes. The caller must release it,
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -19,6 +19,7 @@
 package steerer
 
 import (
+	"math"
 	"reflect"
 	"time"
 
@@ -229,17 +230,13 @@
 	return s.policy.Limits
 }
 
-// Rank returns the rank of a request that has not arrived yet, or that of the least urgent
-// route if it has no route.
+// Rank returns the rank of a request that has not arrived yet; one without a route is less
+// urgent than all others.
 func (s *Steerer) Rank(r traffic.Request) int {
 	if route := s.match(r.HostName, r.Path); route != nil {
 		return route.Rank
 	}
-	lowest := 0
-	for _, route := range s.routes {
-		lowest = max(lowest, route.Rank)
-	}
-	return lowest
+	return math.MaxInt
 }
 
 // InFlight returns the number of calls that are not finished.
