Answer a caller whose response breaks off before its first byte

A response for which there is no memory is passed on while it is read; if its server broke off at once, the caller's connection was closed without an answer. The first part is now awaited before the head is written, and a 502 is still possible.

TestPassedOnResponseWithoutAFirstByte failed before (unexpected EOF).

--- a/internal/receiver/deliver.go
+++ b/internal/receiver/deliver.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -29,6 +30,53 @@
 		r.refuse(w, traffic.Refuse{Reason: traffic.Interrupted, Fate: traffic.Unknown})
 		return
 	}
+	body, err := firstPart(reply, rest)
+	if err != nil {
+		r.recordCut(reply, 0, err)
+		r.refuse(w, traffic.Refuse{Reason: traffic.Interrupted, Fate: traffic.Unknown})
+		return
+	}
+	r.writeHead(w, reply)
+	streamed, err := r.writeBody(w, body, rest)
+	if streamed > 0 {
+		r.count("answers.streamed")
+	}
+	if err != nil {
+		r.recordCut(reply, streamed, err)
+		// The response is not whole and must not look so.
+		r.abandon("answers.cut")
+	}
+	r.count("answers.delivered." + strconv.Itoa(reply.Status))
+}
+
+// firstPart returns the first part of a response's body. If there is none yet, it waits for
+// the server, so that one that breaks off at once does not cost the caller its answer.
+func firstPart(reply traffic.Reply, rest io.Reader) ([]byte, error) {
+	if len(reply.Body) > 0 || reply.Length == 0 {
+		return reply.Body, nil
+	}
+	part := make([]byte, ResponseBytes)
+	n, err := io.ReadAtLeast(rest, part, 1)
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	return part[:n], err
+}
+
+// recordCut logs a response that broke off while it was passed on.
+func (r *Receiver) recordCut(reply traffic.Reply, streamed int64, err error) {
+	r.Carrier.Record(traffic.Record{
+		Level:   slog.LevelWarn,
+		Message: "response cut",
+		Attributes: []slog.Attr{
+			slog.String("request", reply.RequestID), slog.Int("status", reply.Status), slog.Int64("length", reply.Length),
+			slog.Int64("passed_on", streamed), slog.String("error", err.Error()),
+		},
+	})
+}
+
+// writeHead writes the status and the header of a response.
+func (r *Receiver) writeHead(w http.ResponseWriter, reply traffic.Reply) {
 	header := w.Header()
 	for name, values := range reply.Header {
 		header[name] = values
@@ -42,23 +90,6 @@
 		header.Set("Content-Length", strconv.FormatInt(reply.Length, 10))
 	}
 	w.WriteHeader(reply.Status)
-	streamed, err := r.writeBody(w, reply.Body, rest)
-	if streamed > 0 {
-		r.count("answers.streamed")
-	}
-	if err != nil {
-		r.Carrier.Record(traffic.Record{
-			Level:   slog.LevelWarn,
-			Message: "response cut",
-			Attributes: []slog.Attr{
-				slog.String("request", reply.RequestID), slog.Int("status", reply.Status), slog.Int64("length", reply.Length),
-				slog.Int64("passed_on", streamed), slog.String("error", err.Error()),
-			},
-		})
-		// The response is not whole and must not look so.
-		r.abandon("answers.cut")
-	}
-	r.count("answers.delivered." + strconv.Itoa(reply.Status))
 }
 
 // writeBody writes a body and what follows it, and returns the length of the latter.
--- a/internal/receiver/deliver_test.go
+++ b/internal/receiver/deliver_test.go
@@ -183,3 +183,17 @@
 	time.Sleep(50 * time.Millisecond)
 	assert.Equal(t, r.Bodies.Accountant.Lent(), int64(0))
 }
+
+// A server that breaks off before the first byte of a response that is passed on: the caller
+// gets an answer of the instance in place of a closed connection.
+func TestPassedOnResponseWithoutAFirstByte(t *testing.T) {
+	var decided atomic.Int64
+	rest := &countedRest{Reader: strings.NewReader(""), err: io.ErrUnexpectedEOF}
+	reply := traffic.Reply{Status: http.StatusOK, Header: http.Header{"X-Stamp": {"server"}}, Rest: rest, Length: 1000}
+	response, _, err := get(t, serveReply(t, newCallerReceiver(&decided), reply), "1.1")
+	assert.NilError(t, err)
+	assert.Equal(t, response.StatusCode, http.StatusBadGateway)
+	assert.Equal(t, response.Header.Get("X-Stamp"), "")
+	assert.Equal(t, decided.Load(), int64(1), "no line tells of it")
+	assert.Equal(t, rest.closed.Load(), int64(1))
+}
