Take organisations, their keys, homes and ranks from the configuration

Change: keys are looked up in a map; an unknown one is refused (401) where the route is not public; the organisation's name is set on each attempt and the key on none; both homes bind; the organisation's rank goes before that of the route. Who asks is looked at again before the first byte of an attempt. Interfaces for quotas: settings and the fields of an organisation.

--- a/internal/carrier/late_send_test.go
+++ b/internal/carrier/late_send_test.go
@@ -30,8 +30,8 @@
 	resume  chan struct{}
 }
 
-func (c *slowCodec) RequestHeader(r traffic.Request, u traffic.Upstream, _ time.Duration) http.Header {
-	c.reached <- u
+func (c *slowCodec) RequestHeader(r traffic.Request, send traffic.Send, _ time.Duration) http.Header {
+	c.reached <- send.Upstream
 	<-c.resume
 	return http.Header{headerID: {r.ID}}
 }
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -111,7 +111,7 @@
 		return traffic.Outcome{Fate: traffic.NotRun, Err: errTooLate}
 	}
 	idle := c.idleTime(f.Clock.Now())
-	m := encode(request, f.Codec.RequestHeader(request, send.Upstream, remaining))
+	m := encode(request, f.Codec.RequestHeader(request, send, remaining))
 	reply, err := c.exchange(ctx, request, m, remaining, responseLoan(send), mayStart)
 	if errors.Is(err, errWithdrawn) {
 		f.put(c)
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -22,8 +22,8 @@
 // fakeCodec uses headers that only these tests know.
 type fakeCodec struct{ traffic.Codec }
 
-func (fakeCodec) RequestHeader(r traffic.Request, u traffic.Upstream, remaining time.Duration) http.Header {
-	return http.Header{"X-Id": {r.ID}, "X-Server": {u.ID}, "X-Left": {fmt.Sprint(remaining.Milliseconds())}}
+func (fakeCodec) RequestHeader(r traffic.Request, send traffic.Send, remaining time.Duration) http.Header {
+	return http.Header{"X-Id": {r.ID}, "X-Server": {send.Upstream.ID}, "X-Left": {fmt.Sprint(remaining.Milliseconds())}}
 }
 
 func (fakeCodec) DecodeReply(r *http.Response) traffic.Reply {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -182,10 +182,12 @@
 // refusalStatuses holds the HTTP statuses of those reasons that always have the same one. For all
 // other reasons refuse derives the status from the reason and the fate of the request.
 var refusalStatuses = map[traffic.Refusal]int{
-	traffic.NoRoute:     http.StatusNotFound,
-	traffic.TooLarge:    http.StatusRequestEntityTooLarge,
-	traffic.BadRequest:  http.StatusBadRequest,
-	traffic.Misdirected: http.StatusMisdirectedRequest,
+	traffic.NoRoute:      http.StatusNotFound,
+	traffic.Unidentified: http.StatusUnauthorized,
+	traffic.OverQuota:    http.StatusTooManyRequests,
+	traffic.TooLarge:     http.StatusRequestEntityTooLarge,
+	traffic.BadRequest:   http.StatusBadRequest,
+	traffic.Misdirected:  http.StatusMisdirectedRequest,
 }
 
 func (r *Receiver) refuse(w http.ResponseWriter, refusal traffic.Refuse) {
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -32,6 +32,8 @@
 	number  uint64
 	request traffic.Request
 	route   *route
+	// organisation is that of the caller, or nil if there is none.
+	organisation *organisation
 	// idempotent is set if the request may be sent to a second server after it may have run.
 	idempotent bool
 	service    string
@@ -114,6 +116,11 @@
 		s.refuse(c, traffic.NoRoute, traffic.NotRun, 0)
 		return
 	}
+	var identified bool
+	if c.organisation, identified = s.identify(c.route, e.Request.Key); !identified {
+		s.refuse(c, traffic.Unidentified, traffic.NotRun, 0)
+		return
+	}
 	c.idempotent = s.isIdempotent(c)
 	c.deadline = finalDeadline(c)
 	c.tried = make(map[string]bool)
@@ -150,8 +157,8 @@
 
 // dispatch sends a call to the best server, or gives it up if there is none.
 func (s *Steerer) dispatch(c *call) {
-	if !s.followPolicy(c) {
-		s.giveUp(c, traffic.NoRoute, 0)
+	if refusal := s.followPolicy(c); refusal != "" {
+		s.giveUp(c, refusal, 0)
 		return
 	}
 	choice := s.place(c)
@@ -181,13 +188,14 @@
 	u.inFlight++
 	u.objects.add(objectKey(c), s.now)
 	s.emit(traffic.Send{
-		Call:        c.number,
-		Attempt:     c.attempts,
-		Upstream:    u.Upstream,
-		Connections: s.connectionLimit(u),
-		Spare:       s.spareCount(c, u),
-		Deadline:    c.deadline,
-		Idempotent:  c.idempotent,
+		Call:         c.number,
+		Attempt:      c.attempts,
+		Upstream:     u.Upstream,
+		Connections:  s.connectionLimit(u),
+		Spare:        s.spareCount(c, u),
+		Deadline:     c.deadline,
+		Organisation: c.organisationName(),
+		Idempotent:   c.idempotent,
 	})
 	s.emit(traffic.StartOverdueTimer{Call: c.number, Attempt: c.attempts, After: overdueAfter(choice.expected)})
 }
@@ -246,7 +254,7 @@
 	case c.mayHaveRun:
 		s.refuse(c, reason, traffic.Unknown, 0)
 	default:
-		if reason != traffic.Stopping && reason != traffic.NoRoute {
+		if reason != traffic.Stopping && reason != traffic.NoRoute && reason != traffic.Unidentified {
 			remaining := c.deadline.Sub(s.now)
 			retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter, max(remaining/3, minRetryAfter))
 		}
--- a/internal/steerer/eligibility.go
+++ b/internal/steerer/eligibility.go
@@ -41,7 +41,7 @@
 		return reason
 	}
 	switch {
-	case !regionAllowed(c.route.HomeRegions, u.region):
+	case !c.mayRunIn(u.region):
 		return "region"
 	case !s.ejectorAllows(c, u):
 		return "half_open"
--- a/internal/steerer/placement.go
+++ b/internal/steerer/placement.go
@@ -96,7 +96,7 @@
 		if reason := s.obstacleNow(c, u); reason != "" {
 			obstacles[reason]++
 		}
-		if !regionAllowed(c.route.HomeRegions, u.region) || c.tried[u.ID] {
+		if !c.mayRunIn(u.region) || c.tried[u.ID] {
 			continue
 		}
 		if serverWait, waits := s.waitFor(c, u); waits {
@@ -187,7 +187,7 @@
 	for _, x := range found {
 		u := x.server
 		e := s.estimate(c, u, u == preferred)
-		if e.load >= float64(u.Slots)*(1+queueFraction(c.route.Rank)) {
+		if e.load >= float64(u.Slots)*(1+queueFraction(c.rank())) {
 			if best.server == nil && (best.expected == 0 || e.expected < best.expected) {
 				best.estimate = e
 			}
--- a/internal/steerer/record.go
+++ b/internal/steerer/record.go
@@ -54,6 +54,9 @@
 	if c.route == nil {
 		return append(attributes, attr("host", c.request.Host), attr("path", c.request.Path))
 	}
+	if c.organisation != nil {
+		attributes = append(attributes, attr("organisation", c.organisation.Name))
+	}
 	attributes = append(attributes, attr("route", c.route.Name), attr("service", c.service),
 		attr("object", c.request.Object), attr("limit", c.deadline.Sub(c.readAt)), attr("attempts", c.attempts),
 		attr("eligible", c.lastChoice.eligible))
--- a/internal/steerer/starting.go
+++ b/internal/steerer/starting.go
@@ -55,7 +55,11 @@
 	if c.policyNumber == s.policyNumber {
 		return true
 	}
-	return s.match(c.request.HostName, c.request.Path) == c.route && c.route.sendsTo(c.service)
+	if s.match(c.request.HostName, c.request.Path) != c.route || !c.route.sendsTo(c.service) {
+		return false
+	}
+	o, ok := s.identify(c.route, c.request.Key)
+	return ok && o == c.organisation
 }
 
 // sendsTo reports whether a part of the route's calls goes to a service.
@@ -63,21 +67,26 @@
 	return slices.ContainsFunc(r.Shares, func(share traffic.Share) bool { return share.Service == service && share.Weight > 0 })
 }
 
-// followPolicy chooses a call's route and service anew if the policy in force no longer
-// allows those that it has. It returns false if there is no route any more.
-func (s *Steerer) followPolicy(c *call) bool {
+// followPolicy chooses a call's route, organisation and service anew if the policy in force
+// no longer allows those that it has. It returns why there are none any more, or an empty
+// refusal.
+func (s *Steerer) followPolicy(c *call) traffic.Refusal {
 	if s.policyAllows(c) {
 		c.policyNumber = s.policyNumber
-		return true
+		return ""
 	}
 	r := s.match(c.request.HostName, c.request.Path)
 	if r == nil {
-		return false
+		return traffic.NoRoute
+	}
+	o, ok := s.identify(r, c.request.Key)
+	if !ok {
+		return traffic.Unidentified
 	}
-	c.route = r
+	c.route, c.organisation = r, o
 	c.idempotent = c.idempotent && s.isIdempotent(c)
 	s.chooseService(c)
-	return true
+	return ""
 }
 
 // chooseService deals a call out to one of its route's services.
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -48,9 +48,12 @@
 	policyNumber uint64
 	routes       map[string]*route
 	// matcher finds the route of a request.
-	matcher   matcher.Matcher[*route]
-	services  map[string]*service
-	upstreams map[string]*upstream
+	matcher  matcher.Matcher[*route]
+	services map[string]*service
+	// organisations holds those of the policy by name, and organisationsByKey by their keys.
+	organisations      map[string]*organisation
+	organisationsByKey map[string]*organisation
+	upstreams          map[string]*upstream
 	// formerPacers holds the pacers of removed servers, whose records may return.
 	formerPacers map[process]*pacer.Pacer
 	// notices holds what servers' processes have said of themselves, of those that have
@@ -233,10 +236,15 @@
 // Rank returns the rank of a request that has not arrived yet; one without a route is less
 // urgent than all others.
 func (s *Steerer) Rank(r traffic.Request) int {
-	if route := s.match(r.HostName, r.Path); route != nil {
-		return route.Rank
+	route := s.match(r.HostName, r.Path)
+	if route == nil {
+		return math.MaxInt
 	}
-	return math.MaxInt
+	o, ok := s.identify(route, r.Key)
+	if !ok {
+		return math.MaxInt
+	}
+	return rankOf(route, o)
 }
 
 // InFlight returns the number of calls that are not finished.
@@ -284,13 +292,14 @@
 	for _, r := range e.Policy.Routes {
 		s.matcher.Add(r.Host, r.Prefix, routes[r.Name])
 	}
+	s.updateOrganisations(e.Policy.Organisations)
 	policy := e.Policy
 	s.policy = &policy
 	for _, u := range s.upstreams {
 		s.checkPlausible(u)
 	}
 	s.recordStateChange("configuration in force", attr("version", policy.Version), attr("revision", e.Revision),
-		attr("routes", len(routes)))
+		attr("routes", len(routes)), attr("organisations", len(s.organisations)))
 }
 
 // isNewPolicy reports whether a policy is newer than the one in force. A store that has come
--- a/internal/traffic/boundary.go
+++ b/internal/traffic/boundary.go
@@ -61,9 +61,9 @@
 type Codec interface {
 	// DecodeRequest decodes a caller's request without its body.
 	DecodeRequest(r *http.Request) Request
-	// RequestHeader returns the header of a request to a server. remaining is the
-	// time until the request's deadline.
-	RequestHeader(r Request, upstream Upstream, remaining time.Duration) http.Header
+	// RequestHeader returns the header of a request to the server of a Send. remaining is
+	// the time until the request's deadline.
+	RequestHeader(r Request, send Send, remaining time.Duration) http.Header
 	// DecodeReply decodes a server's response without its body.
 	DecodeReply(r *http.Response) Reply
 	// MisdirectedHeader returns the header of the response to a request that is meant for
--- a/internal/traffic/effect.go
+++ b/internal/traffic/effect.go
@@ -29,6 +29,8 @@
 	// use.
 	Spare    int
 	Deadline time.Time
+	// Organisation is the name of the caller's organisation; it is empty if there is none.
+	Organisation string
 	// Idempotent requests may use connections that have been idle for a long time.
 	Idempotent bool
 }
--- a/internal/traffic/policy.go
+++ b/internal/traffic/policy.go
@@ -7,7 +7,9 @@
 	Version  int64
 	Routes   []Route
 	Services map[string]Service
-	Limits   Limits
+	// Organisations are those whose callers need a key. If there are none, nobody does.
+	Organisations []Organisation
+	Limits        Limits
 }
 
 // Route defines how requests for one host and path prefix are served.
@@ -32,6 +34,8 @@
 	Sticky bool
 	// HomeRegions are the only regions that may serve the route; empty means any.
 	HomeRegions []string
+	// Public is set if callers need no key.
+	Public bool
 }
 
 // Share is the weight of one service in a route.
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -22,6 +22,9 @@
 	Target string
 	// Ambiguous names a header that has several different values where there must be one.
 	Ambiguous string
+	// Key is the key by which the caller identifies its organisation. It is empty if there is
+	// none or if there are several, and must not be logged or passed on.
+	Key string
 	// Object identifies the object that the request concerns. It may be empty.
 	Object string
 	// Limit is how long the caller waits, or zero if unknown.
@@ -105,15 +108,19 @@
 
 // Reasons for refusals.
 const (
-	NoRoute     Refusal = "no_route"
-	NoPolicy    Refusal = "no_policy"
-	NoServer    Refusal = "no_server"
-	Overloaded  Refusal = "overloaded"
-	NoMemory    Refusal = "no_memory"
-	TooLate     Refusal = "too_late"
-	Interrupted Refusal = "interrupted"
-	Stopping    Refusal = "stopping"
-	Misdirected Refusal = "misdirected"
-	TooLarge    Refusal = "too_large"
-	BadRequest  Refusal = "bad_request"
+	NoRoute  Refusal = "no_route"
+	NoPolicy Refusal = "no_policy"
+	// Unidentified is for a caller whose key belongs to no organisation, and OverQuota for an
+	// organisation that has used up its quota.
+	Unidentified Refusal = "unidentified"
+	OverQuota    Refusal = "over_quota"
+	NoServer     Refusal = "no_server"
+	Overloaded   Refusal = "overloaded"
+	NoMemory     Refusal = "no_memory"
+	TooLate      Refusal = "too_late"
+	Interrupted  Refusal = "interrupted"
+	Stopping     Refusal = "stopping"
+	Misdirected  Refusal = "misdirected"
+	TooLarge     Refusal = "too_large"
+	BadRequest   Refusal = "bad_request"
 )
--- a/internal/traffic/settings.go
+++ b/internal/traffic/settings.go
@@ -72,6 +72,16 @@
 	// cold rate, plus ColdSlack, requests in any second.
 	ColdFactor float64 `json:"cold_factor"`
 	ColdSlack  float64 `json:"cold_slack"`
+	// A key that is withdrawn from an organisation must not be accepted after Revoke. If
+	// RevokeStrict is set, an instance that may not know of a withdrawal by then accepts no
+	// keys at all.
+	Revoke       model.Duration `json:"revoke"`
+	RevokeStrict bool           `json:"revoke_strict"`
+	// In any QuotaWindow the servers get no more of an organisation's requests than its rate
+	// and burst allow, plus the fraction QuotaExcess of that, plus QuotaSlack.
+	QuotaWindow model.Duration `json:"quota_window"`
+	QuotaExcess float64        `json:"quota_excess"`
+	QuotaSlack  float64        `json:"quota_slack"`
 	// ShiftCap is the fraction of a region's requests that may move to another region
 	// within ShiftWindow.
 	ShiftCap    float64        `json:"shift_cap"`
