--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -21,6 +21,8 @@
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdleTimeout   = 15 * time.Second
 	defaultHeaderBytes   = 16 << 10
+	// shownOrganisations bounds the number of organisations with metrics of their own.
+	shownOrganisations = 20
 )
 
 // listenControl serves readiness, look-ups and metrics.
@@ -60,6 +62,10 @@
 		metrics.GetOrRegisterGauge("configuration_version", l.registry).Update(s.Version())
 		metrics.GetOrRegisterGauge("changes_age_ms", l.registry).Update(l.relayer.Age().Milliseconds())
 		metrics.GetOrRegisterGauge("servers_limited", l.registry).Update(int64(s.LimitedServers()))
+		for _, use := range s.BusiestOrganisations(shownOrganisations) {
+			metrics.GetOrRegisterGauge("organisation_requests."+use.Name, l.registry).Update(use.Requests)
+			metrics.GetOrRegisterGauge("organisation_refused."+use.Name, l.registry).Update(use.Refused)
+		}
 		instances, dividedBy := s.Division()
 		metrics.GetOrRegisterGauge("instances_known", l.registry).Update(int64(instances))
 		metrics.GetOrRegisterGauge("bounds_divided_by", l.registry).Update(int64(dividedBy))
--- a/internal/preparer/preparer.go
+++ b/internal/preparer/preparer.go
@@ -45,6 +45,7 @@
 			ShiftCap:       0.15,
 			ShiftWindow:    seconds(2),
 			LookUpLifetime: seconds(5),
+			Revoke:         seconds(5),
 		},
 	}
 }
@@ -127,6 +128,7 @@
 		{"/bounds/retry_slack", b.RetrySlack},
 		{"/bounds/cold_slack", b.ColdSlack},
 		{"/bounds/shift_cap", b.ShiftCap},
+		{"/bounds/revoke", b.Revoke.Seconds()},
 	} {
 		if setting.value < 0 {
 			findings = append(findings, model.Finding{Field: setting.field, Message: "must not be negative"})
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -121,6 +121,13 @@
 		s.refuse(c, traffic.Unidentified, traffic.NotRun, 0)
 		return
 	}
+	if c.organisation != nil {
+		c.organisation.requests++
+	}
+	if c.organisation != nil && s.keysOutdated() {
+		s.refuse(c, traffic.NoPolicy, traffic.NotRun, defaultRetryAfter)
+		return
+	}
 	c.idempotent = s.isIdempotent(c)
 	c.deadline = finalDeadline(c)
 	c.tried = make(map[string]bool)
@@ -263,6 +270,9 @@
 }
 
 func (s *Steerer) refuse(c *call, reason traffic.Refusal, fate traffic.Fate, retryAfter time.Duration) {
+	if c.organisation != nil {
+		c.organisation.refused++
+	}
 	s.emit(traffic.Refuse{Call: c.number, Reason: reason, Fate: fate, RetryAfter: retryAfter})
 	s.recordRefusal(c, reason, fate, retryAfter)
 }
--- a/internal/steerer/lookup.go
+++ b/internal/steerer/lookup.go
@@ -11,10 +11,14 @@
 const maxAddresses = 64
 
 // handleLookUp returns the addresses of the available instances in the caller's
-// region, of all available instances if that region has none, or of this instance
-// if none is available at all.
+// region. If that region has none, it returns those in the homes of the host's routes, or
+// else all, or this instance if none is available at all.
 func (s *Steerer) handleLookUp(q traffic.Query) {
 	selected := s.availableInstances(func(i traffic.Instance) bool { return i.Region == q.Region })
+	if len(selected) == 0 {
+		homes := s.homesOf(q.Host)
+		selected = s.availableInstances(func(i traffic.Instance) bool { return regionAllowed(homes, i.Region) })
+	}
 	if len(selected) == 0 {
 		selected = s.availableInstances(func(traffic.Instance) bool { return true })
 	}
@@ -29,6 +33,21 @@
 	s.emit(result)
 }
 
+// homesOf returns the regions in which some route of a host has its home, or nil if none of
+// its routes has one.
+func (s *Steerer) homesOf(host string) []string {
+	var homes []string
+	if s.policy == nil {
+		return nil
+	}
+	for _, r := range s.policy.Routes {
+		if strings.EqualFold(r.Host, host) {
+			homes = append(homes, r.HomeRegions...)
+		}
+	}
+	return homes
+}
+
 // chooseAddresses returns at most maxAddresses instances, in the order of their names. If
 // there are more, it takes those of the caller's failure domain first, and others by
 // their hash with that domain, so that the callers of different domains use different
--- a/internal/steerer/organisation.go
+++ b/internal/steerer/organisation.go
@@ -1,11 +1,38 @@
 package steerer
 
-import "github.com/yuccathread/yuccathread/internal/traffic"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
 
 // organisation is an organisation of the current policy with its statistics, which are kept
 // across policy versions as long as the organisation exists.
 type organisation struct {
 	traffic.Organisation
+	// requests and refused count the requests that have arrived and that were refused.
+	requests, refused int64
+}
+
+// OrganisationUse is what this instance has seen of an organisation.
+type OrganisationUse struct {
+	Name              string
+	Requests, Refused int64
+}
+
+// BusiestOrganisations returns at most n organisations, those with the most requests first.
+func (s *Steerer) BusiestOrganisations(n int) []OrganisationUse {
+	var uses []OrganisationUse
+	for _, o := range s.organisations {
+		if o.requests > 0 {
+			uses = append(uses, OrganisationUse{Name: o.Name, Requests: o.requests, Refused: o.refused})
+		}
+	}
+	slices.SortFunc(uses, func(a, b OrganisationUse) int {
+		return cmp.Or(cmp.Compare(b.Requests, a.Requests), cmp.Compare(a.Name, b.Name))
+	})
+	return uses[:min(n, len(uses))]
 }
 
 // updateOrganisations takes over the organisations of a policy. A key that several of them
@@ -53,6 +80,15 @@
 	return r.Rank
 }
 
+// keysOutdated reports whether keys may have been withdrawn so long ago, without this
+// instance knowing of it, that none may be accepted.
+func (s *Steerer) keysOutdated() bool {
+	bounds := s.Settings.Bounds
+	// The loss of the store may have been noticed only after Reconnect.
+	usable := bounds.Revoke.Duration - bounds.Reconnect.Duration
+	return bounds.RevokeStrict && s.store.unavailable && s.now.Sub(s.store.lostAt) >= usable
+}
+
 // organisationName returns the name of the caller's organisation, or an empty string.
 func (c *call) organisationName() string {
 	if c.organisation == nil {
--- a/internal/steerer/starting.go
+++ b/internal/steerer/starting.go
@@ -11,6 +11,7 @@
 	withdrawnEnded  = "the call has ended"
 	withdrawnGone   = "the server is gone"
 	withdrawnPolicy = "the configuration has changed"
+	withdrawnKeys   = "the keys may be outdated"
 	withdrawnStop   = "the instance is stopping"
 )
 
@@ -43,6 +44,8 @@
 		return withdrawnGone
 	case !s.policyAllows(c):
 		return withdrawnPolicy
+	case c.organisation != nil && s.keysOutdated():
+		return withdrawnKeys
 	case !s.maySend(c):
 		return withdrawnStop
 	}
