Deliver small whole responses without a buffer for their rest

Ruled out: no write deadline for them, since a caller that reads nothing must be cut off. Change: a response whose length is that of its body has nothing to follow.

--- a/internal/receiver/deliver.go
+++ b/internal/receiver/deliver.go
@@ -37,6 +37,9 @@
 		return
 	}
 	r.writeHead(w, reply)
+	if reply.Length == int64(len(body)) {
+		rest = http.NoBody
+	}
 	streamed, err := r.writeBody(w, body, rest)
 	if streamed > 0 {
 		r.count("answers.streamed")
@@ -94,11 +97,6 @@
 
 // writeBody writes a body and what follows it, and returns the length of the latter.
 func (r *Receiver) writeBody(w http.ResponseWriter, body []byte, rest io.Reader) (int64, error) {
-	if len(body) <= ResponseBytes && rest == http.NoBody {
-		// A write fails only if the caller has disconnected, so there is nobody to report it to.
-		_, _ = w.Write(body)
-		return 0, nil
-	}
 	controller := http.NewResponseController(w)
 	chunks := &chunkWriter{writer: w, setDeadline: controller.SetWriteDeadline, timeout: r.idleTimeout()}
 	for len(body) > 0 {
@@ -108,9 +106,13 @@
 		}
 		body = body[n:]
 	}
-	streamed, err := io.CopyBuffer(chunks, rest, make([]byte, ResponseBytes))
-	if err != nil {
-		return streamed, err
+	streamed := int64(0)
+	if rest != http.NoBody {
+		n, err := io.CopyBuffer(chunks, rest, make([]byte, ResponseBytes))
+		if err != nil {
+			return n, err
+		}
+		streamed = n
 	}
 	// The next response on the connection has no deadline yet.
 	return streamed, controller.SetWriteDeadline(time.Time{})
