Name the strong instances of a region in look-ups

Ruled out: pools kept warm, which would open as many connections; idle limits (servers close after 10 s what is used once in 15 s). Change: look-ups name instances of a quarter of the largest capacity or more, as long as they are three, hold a third of the region's capacity and are not busy; all otherwise. An instance whose timers fire late on average says so in its record.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -32,6 +32,9 @@
 	// Reannounce is called when this instance's record is missing from the store as of a
 	// revision; it must not block.
 	Reannounce func(revision int64)
+	// AnnounceBusy is called when this instance becomes busy or is so no more; it must not
+	// block.
+	AnnounceBusy func(busy bool)
 	// Publish is called with each traffic.PublishLimits and traffic.PublishFleetSize; it
 	// must not block.
 	Publish func(traffic.Effect)
@@ -163,6 +166,8 @@
 		c.Record(e)
 	case traffic.Reannounce:
 		c.Reannounce(e.Revision)
+	case traffic.AnnounceBusy:
+		c.AnnounceBusy(e.Busy)
 	case traffic.PublishLimits, traffic.PublishFleetSize:
 		c.Publish(e)
 	}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -141,12 +141,13 @@
 	l.registrar = &registrar.Registrar{Store: l.Store, Instance: self, Logger: l.Logger, Times: l.times}
 	l.publisher = &publisher.Publisher{Store: l.Store, Logger: l.Logger, Timeout: l.times.LeaseCallTimeout()}
 	l.carrier = &carrier.Carrier{
-		Steerer:    &steerer.Steerer{Self: self, Settings: s},
-		Forwarder:  l.forwarder,
-		Clock:      l.Clock,
-		Record:     l.record,
-		Reannounce: l.registrar.Reannounce,
-		Publish:    l.publisher.Publish,
+		Steerer:      &steerer.Steerer{Self: self, Settings: s},
+		Forwarder:    l.forwarder,
+		Clock:        l.Clock,
+		Record:       l.record,
+		Reannounce:   l.registrar.Reannounce,
+		AnnounceBusy: l.registrar.SetBusy,
+		Publish:      l.publisher.Publish,
 	}
 	l.registrar.Kept = func(e traffic.RecordKept) { l.carrier.Handle(e) }
 	peers := gossiper.Gossiper{Timeout: l.times.RelayWait() + l.times.RelayTimeout()}
@@ -229,11 +230,11 @@
 	defer ticker.Stop()
 	for n := 0; ; n++ {
 		select {
-		case <-ticker.C:
+		case due := <-ticker.C:
+			l.carrier.Handle(traffic.Ticked{Late: time.Since(due)})
 		case <-ctx.Done():
 			return
 		}
-		l.carrier.Handle(traffic.Ticked{})
 		if n%sweepTicks == 0 {
 			l.forwarder.Sweep()
 		}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -115,6 +115,20 @@
 	return r.left
 }
 
+// SetBusy writes in the record whether the instance is busy.
+func (r *Registrar) SetBusy(busy bool) {
+	r.mutex.Lock()
+	changed := r.Instance.Busy != busy
+	if changed {
+		r.Instance.Busy = busy
+		r.version++
+	}
+	r.mutex.Unlock()
+	if changed {
+		r.wakeUp()
+	}
+}
+
 func (r *Registrar) wakeUp() {
 	r.initWake()
 	select {
--- a/internal/steerer/lookup.go
+++ b/internal/steerer/lookup.go
@@ -10,9 +10,9 @@
 // maxAddresses is the largest number of addresses in a look-up's result.
 const maxAddresses = 64
 
-// handleLookUp returns the addresses of the available instances in the caller's
-// region. If that region has none, it returns those in the homes of the host's routes, or
-// else all, or this instance if none is available at all.
+// handleLookUp returns the addresses of available instances in the caller's region, the
+// strong ones if they suffice. If that region has none, it returns those in the homes of the
+// host's routes, or else of all, or this instance if none is available at all.
 func (s *Steerer) handleLookUp(q traffic.Query) {
 	selected := s.availableInstances(func(i traffic.Instance) bool { return i.Region == q.Region })
 	if len(selected) == 0 {
@@ -25,6 +25,7 @@
 	if len(selected) == 0 {
 		selected = []traffic.Instance{s.Self}
 	}
+	selected = chooseStrong(selected)
 	selected = chooseAddresses(selected, q.Domain)
 	result := traffic.LookUpResult{Lifetime: s.times().LookUpLifetime()}
 	for _, i := range selected {
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -23,6 +23,7 @@
 	"reflect"
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/detector"
 	"github.com/yuccathread/yuccathread/internal/matcher"
 	"github.com/yuccathread/yuccathread/internal/measurer"
 	"github.com/yuccathread/yuccathread/internal/pacer"
@@ -76,6 +77,7 @@
 	// roundTrips maps each failure domain to the round-trip time to its servers.
 	roundTrips map[string]*measurer.Measurer
 	instances  membership
+	overload   detector.Detector
 	serving    bool
 	// stoppingSince is when the stop was requested, or zero if it was not.
 	stoppingSince time.Time
@@ -136,7 +138,7 @@
 	case traffic.LookUpRequested:
 		s.handleLookUp(e.Query)
 	case traffic.Ticked:
-		s.tick()
+		s.tick(e.Late)
 	case traffic.SettingsReloaded:
 		s.Settings = e.Settings
 		s.regionNames = nil
@@ -199,8 +201,9 @@
 	}
 }
 
-// tick applies changes that depend only on the time.
-func (s *Steerer) tick() {
+// tick applies changes that depend only on the time, and on how late timers fire.
+func (s *Steerer) tick(late time.Duration) {
+	s.observeLateness(late)
 	s.removeMissingUpstreams()
 	s.removeIdlePacers()
 	s.expireNotices()
--- a/internal/traffic/effect.go
+++ b/internal/traffic/effect.go
@@ -100,6 +100,11 @@
 
 func (Reannounce) effect() {}
 
+// AnnounceBusy writes in this instance's record whether it is busy.
+type AnnounceBusy struct{ Busy bool }
+
+func (AnnounceBusy) effect() {}
+
 // PublishFleetSize writes the number of instances to the store, for those that start
 // when no other instance is left.
 type PublishFleetSize struct{ Instances int }
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -42,8 +42,8 @@
 // CallerLeft reports that the caller has closed its connection.
 type CallerLeft struct{ Call uint64 }
 
-// Ticked fires several times a second.
-type Ticked struct{}
+// Ticked fires several times a second. Late is how late it fires.
+type Ticked struct{ Late time.Duration }
 
 // PolicySeen reports a version of the policy in the store.
 type PolicySeen struct {
--- a/internal/traffic/upstream.go
+++ b/internal/traffic/upstream.go
@@ -45,6 +45,8 @@
 	// Capacity grows with the instance's processor share and link, or is zero if they are
 	// not known. Only that of instances of the same region is compared.
 	Capacity int `json:"capacity,omitempty"`
+	// Busy is set while the instance has more work than its processor does.
+	Busy bool `json:"busy,omitempty"`
 	// Leaving is set while the instance shuts down: it still serves its callers but
 	// accepts no new ones.
 	Leaving bool `json:"leaving"`
