Explain where a request would go, without sending it

Cause: operators see in the log where requests went, not where the next one would go and why. Ruled out: a request with a mark of its own that is not sent, since it would take from rates, budgets and the split. Change: yuccactl explain asks an instance on its metrics address; the decisions are those of a request (admit, place), on a call that is never kept. Admission is a function of its own.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -130,6 +130,19 @@
 	return result
 }
 
+// Explain tells where a request would go now, without sending it.
+func (c *Carrier) Explain(request traffic.Request) traffic.Explanation {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var explanation traffic.Explanation
+	for _, effect := range c.decide(traffic.ExplanationRequested{Request: request}) {
+		if x, ok := effect.(traffic.Explanation); ok {
+			explanation = x
+		}
+	}
+	return explanation
+}
+
 // View calls read with the reducer, which read must not modify.
 func (c *Carrier) View(read func(*steerer.Steerer)) {
 	c.mutex.Lock()
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -47,6 +47,7 @@
   wait        wait until a version is in force everywhere
   status      the instances and their view of the fleet
   timeline    decisions of all instances, in causal order
+  explain     where a request would go now, and why, on a managed platform
 
 Every command takes -entry ADDRESS (or YUCCATHREAD_ENTRY) and -json.
 'yuccactl COMMAND -help' lists the flags of a command.
@@ -90,6 +91,7 @@
 		{"wait", prepareWait},
 		{"status", prepareStatus},
 		{"timeline", prepareTimeline},
+		{"explain", prepareExplain},
 	}
 }
 
--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -11,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/yuccathread/yuccathread/internal/explainer"
 	"github.com/yuccathread/yuccathread/internal/exposer"
 	"github.com/yuccathread/yuccathread/internal/steerer"
 	"github.com/yuccathread/yuccathread/internal/traffic"
@@ -36,6 +37,7 @@
 	}
 	add(l.Settings.ReadyAddress, "GET "+l.ReadyPath, http.HandlerFunc(l.receiver.Ready))
 	add(l.Settings.LookUpAddress, "GET "+l.LookUpPath, http.HandlerFunc(l.receiver.LookUp))
+	add(l.Settings.MetricsAddress, "POST /explain", &explainer.Explainer{Explain: l.carrier.Explain})
 	add(l.Settings.MetricsAddress, "GET /metrics", &exposer.Exposer{Registry: l.registry, Prefix: "yuccathread_", Update: l.updateGauges})
 	if l.Settings.PeerAddress != "" {
 		mux := http.NewServeMux()
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -99,42 +99,56 @@
 
 func (s *Steerer) handleArrived(e traffic.Arrived) {
 	c := &call{number: e.Call, request: e.Request, readAt: e.Read}
-	if e.Request.Server != "" {
-		s.refuse(c, traffic.Misdirected, traffic.NotRun, 0)
-		return
+	refusal := s.admit(c)
+	if c.organisation != nil {
+		c.organisation.requests++
 	}
-	if !s.Synced() {
-		s.refuse(c, traffic.NoPolicy, traffic.NotRun, defaultRetryAfter)
+	if refusal != "" {
+		s.refuse(c, refusal, traffic.NotRun, admissionRetryAfter(refusal))
 		return
 	}
-	if e.Request.Ambiguous != "" {
-		s.refuse(c, traffic.BadRequest, traffic.NotRun, 0)
-		return
+	s.chooseService(c)
+	s.calls[c.number] = c
+	s.emit(traffic.Admit{Call: c.number, Until: c.deadline})
+	s.dispatch(c)
+}
+
+// admit sets a call's route, organisation and deadline. It returns why the call is refused
+// whatever the servers do, or an empty refusal.
+func (s *Steerer) admit(c *call) traffic.Refusal {
+	switch {
+	case c.request.Server != "":
+		return traffic.Misdirected
+	case !s.Synced():
+		return traffic.NoPolicy
+	case c.request.Ambiguous != "":
+		return traffic.BadRequest
 	}
-	c.route = s.match(e.Request.HostName, e.Request.Path)
+	c.route = s.match(c.request.HostName, c.request.Path)
 	if c.route == nil {
-		s.refuse(c, traffic.NoRoute, traffic.NotRun, 0)
-		return
+		return traffic.NoRoute
 	}
-	var identified bool
-	if c.organisation, identified = s.identify(c.route, e.Request.Key); !identified {
-		s.refuse(c, traffic.Unidentified, traffic.NotRun, 0)
-		return
-	}
-	if c.organisation != nil {
-		c.organisation.requests++
+	o, identified := s.identify(c.route, c.request.Key)
+	if !identified {
+		return traffic.Unidentified
 	}
+	c.organisation = o
 	if c.organisation != nil && s.keysOutdated() {
-		s.refuse(c, traffic.NoPolicy, traffic.NotRun, defaultRetryAfter)
-		return
+		return traffic.NoPolicy
 	}
 	c.idempotent = s.isIdempotent(c)
 	c.deadline = finalDeadline(c)
 	c.tried = make(map[string]bool)
-	s.chooseService(c)
-	s.calls[c.number] = c
-	s.emit(traffic.Admit{Call: c.number, Until: c.deadline})
-	s.dispatch(c)
+	return ""
+}
+
+// admissionRetryAfter returns when a caller that was not admitted may try again, or zero if
+// that would not help.
+func admissionRetryAfter(refusal traffic.Refusal) time.Duration {
+	if refusal == traffic.NoPolicy {
+		return defaultRetryAfter
+	}
+	return 0
 }
 
 // isIdempotent reports whether a call may be repeated: its route must allow it, and so must
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -137,6 +137,8 @@
 		s.handleCallerLeft(e.Call)
 	case traffic.LookUpRequested:
 		s.handleLookUp(e.Query)
+	case traffic.ExplanationRequested:
+		s.handleExplanation(e.Request)
 	case traffic.Ticked:
 		s.tick(e.Late)
 	case traffic.SettingsReloaded:
