Run requests that a caller sends ahead side by side

Callers' connections on the platform were served by net/http's server, which reads the next request of a connection when the response before it is out: of several look-ups that a client sends ahead, each waited for those before it.

internal/pipeliner serves them now. It reads requests with http.ReadRequest, starts those that may be repeated as they come, and lets responses out in order; the first write of a response waits for its turn, so nothing more is buffered. A request that may not be repeated waits until nothing is ahead of it, and nothing behind it is read until it is out (Steerer.MayRepeat).

Seen failing: platform's TestRequestsSentAhead with the former server ("1 requests were at servers before the first was answered"); the tests of pipeliner each with a part taken out (turns, limits, write deadline, cancelling, wake-ups, closing).

--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -13,6 +13,7 @@
 
 	"github.com/yuccathread/yuccathread/internal/explainer"
 	"github.com/yuccathread/yuccathread/internal/exposer"
+	"github.com/yuccathread/yuccathread/internal/pipeliner"
 	"github.com/yuccathread/yuccathread/internal/steerer"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
@@ -24,6 +25,14 @@
 	defaultHeaderBytes   = 16 << 10
 	// shownOrganisations bounds the number of organisations with metrics of their own.
 	shownOrganisations = 20
+
+	// One connection of a caller has this many requests in progress, which hold this many
+	// bytes, before the next is read.
+	maxRequestsAhead = 16
+	maxBytesAhead    = 1 << 20
+	// readAheadPercent is the part of the memory on loan up to which requests are read behind
+	// others on their connections.
+	readAheadPercent = 50
 )
 
 // listenControl serves readiness, look-ups and metrics.
@@ -77,7 +86,7 @@
 // listenWhenSynced starts listening for callers once the reducer knows enough
 // to serve requests. Until then connections are refused, so that callers use
 // another instance.
-func (l *Launcher) listenWhenSynced(ctx context.Context, serveErrors chan error) (*http.Server, error) {
+func (l *Launcher) listenWhenSynced(ctx context.Context, serveErrors chan error) (*pipeliner.Pipeliner, error) {
 	ticker := time.NewTicker(tickInterval / 5)
 	defer ticker.Stop()
 	for {
@@ -100,20 +109,35 @@
 	}
 }
 
-func (l *Launcher) newCallerServer(limits traffic.Limits) *http.Server {
-	return &http.Server{
-		Handler: http.HandlerFunc(l.receiver.Serve),
-		// A success that no server has given must not be sent, also not to OPTIONS *.
-		DisableGeneralOptionsHandler: true,
-		ConnContext:                  l.receiver.ConnContext,
-		ConnState:                    l.receiver.ConnState,
-		ReadHeaderTimeout:            orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
-		IdleTimeout:                  orDefault(limits.IdleTimeout, defaultIdleTimeout),
-		MaxHeaderBytes:               orDefault(limits.HeaderBytes, defaultHeaderBytes),
-		ErrorLog:                     slog.NewLogLogger(l.Logger.Handler(), slog.LevelDebug),
+func (l *Launcher) newCallerServer(limits traffic.Limits) *pipeliner.Pipeliner {
+	return &pipeliner.Pipeliner{
+		Handler:           http.HandlerFunc(l.receiver.Serve),
+		MayRepeat:         l.mayRepeat,
+		ReadsAhead:        l.readsAhead,
+		ConnContext:       l.receiver.ConnContext,
+		ConnState:         l.receiver.ConnState,
+		ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
+		IdleTimeout:       orDefault(limits.IdleTimeout, defaultIdleTimeout),
+		MaxHeaderBytes:    orDefault(limits.HeaderBytes, defaultHeaderBytes),
+		MaxRequests:       maxRequestsAhead,
+		MaxBytes:          maxBytesAhead,
+		ErrorLog:          slog.NewLogLogger(l.Logger.Handler(), slog.LevelDebug),
 	}
 }
 
+// mayRepeat reports whether a request may run more than once.
+func (l *Launcher) mayRepeat(r *http.Request) (repeats bool) {
+	request := l.Codec.DecodeRequest(r)
+	l.carrier.View(func(s *steerer.Steerer) { repeats = s.MayRepeat(request) })
+	return repeats
+}
+
+// readsAhead reports whether there is memory for requests behind others on their connections:
+// without it they would be refused, and unread they can wait.
+func (l *Launcher) readsAhead() bool {
+	return l.accountant.Lent() <= l.accountant.Limit/100*readAheadPercent
+}
+
 func orDefault[T int | time.Duration](value, fallback T) T {
 	if value > 0 {
 		return value
@@ -121,7 +145,12 @@
 	return fallback
 }
 
-func (l *Launcher) serve(address string, server *http.Server, serveErrors chan<- error) error {
+// server accepts connections until it is shut down.
+type server interface {
+	Serve(listener net.Listener) error
+}
+
+func (l *Launcher) serve(address string, server server, serveErrors chan<- error) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("launcher: %w", err)
--- a/internal/launcher/shutdown.go
+++ b/internal/launcher/shutdown.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/pipeliner"
 	"github.com/yuccathread/yuccathread/internal/steerer"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
@@ -20,7 +20,7 @@
 // shutDown stops gracefully. Look-ups stop returning this instance, but callers may use
 // older results for a while: until then it accepts connections, and refuses the requests
 // that it can't finish. Then connections are refused, and the requests in progress finish.
-func (l *Launcher) shutDown(callerServer *http.Server) {
+func (l *Launcher) shutDown(callerServer *pipeliner.Pipeliner) {
 	ctx, cancel := context.WithDeadline(context.Background(), l.Clock.Now().Add(l.times.StopLimit()))
 	defer cancel()
 	go l.watchSuspension(ctx, l.times.StopLimit(), cancel)
--- a/internal/receiver/caller.go
+++ b/internal/receiver/caller.go
@@ -13,7 +13,7 @@
 // connectionKey is the key of a caller's connection in the context of its requests.
 type connectionKey struct{}
 
-// ConnContext is the ConnContext of the http.Server whose handler is Serve.
+// ConnContext is the ConnContext of the server whose handler is Serve.
 func (r *Receiver) ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connectionKey{}, conn)
 }
@@ -21,7 +21,7 @@
 // connectionBytes is what a caller's connection holds while no request is in progress.
 const connectionBytes = 20 << 10
 
-// ConnState is the ConnState of the http.Server whose handler is Serve. It counts the memory
+// ConnState is the ConnState of the server whose handler is Serve. It counts the memory
 // of connections.
 func (r *Receiver) ConnState(_ net.Conn, state http.ConnState) {
 	loan := traffic.Loan{Holder: traffic.ConnectionMemory, Bytes: connectionBytes}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -252,6 +252,12 @@
 	return rankOf(route, o)
 }
 
+// MayRepeat reports whether a request that has not arrived yet may run more than once.
+func (s *Steerer) MayRepeat(r traffic.Request) bool {
+	route := s.match(r.HostName, r.Path)
+	return route != nil && s.isIdempotent(&call{request: r, route: route})
+}
+
 // InFlight returns the number of calls that are not finished.
 func (s *Steerer) InFlight() int {
 	return len(s.calls)
