Cancel what is ahead of a body whose caller leaves

A caller that left in the middle of a body cancelled only that request. The connection was not read any more, so that the requests ahead of it stayed at their servers until they were answered. A body that ends too early, or whose connection fails, now ends the connection if requests are ahead of it. One that is malformed does not: its caller is still there and gets the responses.

Ruled out: discarding what follows an unread body while requests are ahead, which would notice the caller in more cases, but reads without a limit.

Seen failing: TestCallerThatLeavesInABody ("requests ahead of a body that broke off go on: length").

go test -race -count 3 ./internal/pipeliner: ok.

--- a/internal/pipeliner/body.go
+++ b/internal/pipeliner/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"sync"
 )
 
@@ -11,9 +12,11 @@
 	io.ReadCloser
 	exchange *exchange
 	// ended is closed when nothing more is read of the body, and unread says that the
-	// connection can't be read any more since not all of it was.
+	// connection can't be read any more since not all of it was. broken says that the caller's
+	// bytes ended in it.
 	ended  chan struct{}
 	unread bool
+	broken bool
 	taken  int64
 	once   sync.Once
 }
@@ -25,7 +28,9 @@
 	n, err := b.ReadCloser.Read(p)
 	b.taken += int64(n)
 	if err != nil {
-		b.end(!errors.Is(err, io.EOF))
+		var failed *net.OpError
+		broken := errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &failed)
+		b.end(!errors.Is(err, io.EOF), broken)
 	}
 	return n, err
 }
@@ -33,9 +38,9 @@
 // Close does nothing: what was not read is skipped where that is possible at once.
 func (b *body) Close() error { return nil }
 
-func (b *body) end(unread bool) {
+func (b *body) end(unread, broken bool) {
 	b.once.Do(func() {
-		b.unread = unread
+		b.unread, b.broken = unread, broken
 		close(b.ended)
 	})
 }
@@ -53,6 +58,6 @@
 		return false
 	}
 	_, err := io.Copy(io.Discard, b.ReadCloser)
-	b.end(err != nil)
+	b.end(err != nil, false)
 	return err == nil
 }
--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -238,6 +238,10 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if x.body != nil && x.body.unread {
+		if x.body.broken && c.line.first != x {
+			// The caller has left what is ahead too.
+			c.severLocked()
+		}
 		c.stopping, c.announced, c.deaf, c.lingers = true, true, true, true
 		return
 	}
--- a/internal/pipeliner/exchange.go
+++ b/internal/pipeliner/exchange.go
@@ -61,7 +61,7 @@
 			c.server.logf("pipeliner: panic serving %s: %v\n%s", c.remote, failure, debug.Stack())
 		}
 		if x.body != nil {
-			x.body.end(true)
+			x.body.end(true, false)
 		}
 		if !whole {
 			c.abort(x)
--- a/internal/pipeliner/frame.go
+++ b/internal/pipeliner/frame.go
@@ -47,7 +47,7 @@
 	wants := endless || x.request.Close || httpguts.HeaderValuesContainsToken(header["Connection"], "close")
 	if x.body != nil && !x.body.skip() {
 		wants = true
-		x.body.end(true)
+		x.body.end(true, false)
 	}
 	return x.connection.announce(x, wants)
 }
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -316,3 +316,32 @@
 	eventually(t, "requests of a caller that left go on", func() bool { return d.running.Load() == 0 })
 	d.awaitNothing()
 }
+
+// A caller that leaves in the middle of a body cancels the requests ahead of it too. One whose
+// body is malformed has not left.
+func TestCallerThatLeavesInABody(t *testing.T) {
+	for name, head := range map[string]string{
+		"length": "PUT /2 HTTP/1.1\r\n" + host + "Content-Length: 10\r\n\r\nbody",
+		"chunks": "PUT /2 HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n8\r\nbody",
+	} {
+		for _, leave := range []func(*caller) error{(*caller).Close, func(c *caller) error { return c.CloseWrite() }} {
+			d := newDesk(t)
+			c := call(t, serve(t, &Pipeliner{Handler: d, MayRepeat: func(*http.Request) bool { return true }}), get("/1")+head)
+			d.await("/1")
+			eventually(t, "the body is not read", func() bool { return d.running.Load() == 2 })
+			assert.NilError(t, leave(c))
+			eventually(t, "requests ahead of a body that broke off go on: "+name, func() bool { return d.running.Load() == 0 })
+		}
+	}
+	d := newDesk(t)
+	malformed := "PUT /2 HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\nx\r\n"
+	c := call(t, serve(t, &Pipeliner{Handler: d, MayRepeat: func(*http.Request) bool { return true }}), get("/1")+malformed)
+	d.await("/1")
+	d.awaitNothing()
+	d.release("/1")
+	_, body := c.receive()
+	assert.Equal(t, body, "/1")
+	response, _ := c.receive()
+	assert.Equal(t, response.StatusCode, http.StatusBadRequest)
+	assert.Assert(t, response.Close)
+}
