Say in the last response only that the connection ends

When a response that can't be whole or a body that is not read to its end had decided the end of a connection, each response ahead that came later said "Connection: close", also with others behind it. A caller stops reading there, and the others, which servers had answered, were lost.

Seen failing: TestOnlyTheLastResponseAnnouncesTheEnd, its cases abort and malformed ("/1 says that the connection ends").

--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -306,8 +306,9 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.stopping = c.stopping || wants
-	c.announced = c.announced || c.stopping && x.behind == nil
-	return c.announced
+	last := c.stopping && x.behind == nil
+	c.announced = c.announced || last
+	return last
 }
 
 // abort ends the connection with x, whose response can't be whole: what is behind it is
--- a/internal/pipeliner/unwhole_test.go
+++ b/internal/pipeliner/unwhole_test.go
@@ -72,3 +72,38 @@
 		assert.Equal(t, c.rest(), "")
 	}
 }
+
+// Guards against LOST: only the last response says that the connection ends, also if the end is
+// known before those ahead of it are out.
+func TestOnlyTheLastResponseAnnouncesTheEnd(t *testing.T) {
+	unread := "PUT /unread HTTP/1.1\r\n" + host + "Content-Length: 10\r\n\r\nx\r\n"
+	malformed := "PUT /3 HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\nx\r\n"
+	for name, last := range map[string]string{"abort": get("/abort"), "malformed": malformed, "unread": unread} {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/unread" {
+					http.Error(w, "unread", http.StatusServiceUnavailable)
+					return
+				}
+				d.ServeHTTP(w, r)
+			})
+			p := &Pipeliner{Handler: handler, MayRepeat: func(*http.Request) bool { return true }}
+			c := call(t, serve(t, p), get("/1")+get("/2")+last)
+			d.await("/1", "/2")
+			d.release("/abort")
+			time.Sleep(quiet)
+			d.release("/1", "/2")
+			for _, path := range []string{"/1", "/2"} {
+				response, body := c.receive()
+				assert.Equal(t, body, path)
+				assert.Assert(t, !response.Close, "%s says that the connection ends", path)
+			}
+			if name != "abort" {
+				response, _ := c.receive()
+				assert.Assert(t, response.Close)
+			}
+			assert.Equal(t, c.rest(), "")
+		})
+	}
+}
