--- a/internal/pipeliner/caller_test.go
+++ b/internal/pipeliner/caller_test.go
@@ -63,8 +63,8 @@
 	return "POST " + path + " HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\n\r\nbody"
 }
 
-// desk is a handler whose requests wait until the test lets them go on by their path.
-type desk struct {
+// gatedHandler is a handler whose requests wait until the test lets them go on by their path.
+type gatedHandler struct {
 	t       testing.TB
 	begun   chan string
 	running atomic.Int64
@@ -73,11 +73,11 @@
 	gates   map[string]chan struct{}
 }
 
-func newDesk(t testing.TB) *desk {
-	return &desk{t: t, begun: make(chan string, 1000), gates: make(map[string]chan struct{})}
+func newGatedHandler(t testing.TB) *gatedHandler {
+	return &gatedHandler{t: t, begun: make(chan string, 1000), gates: make(map[string]chan struct{})}
 }
 
-func (d *desk) gate(path string) chan struct{} {
+func (d *gatedHandler) gate(path string) chan struct{} {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if d.gates[path] == nil {
@@ -86,13 +86,13 @@
 	return d.gates[path]
 }
 
-func (d *desk) release(paths ...string) {
+func (d *gatedHandler) release(paths ...string) {
 	for _, path := range paths {
 		close(d.gate(path))
 	}
 }
 
-func (d *desk) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (d *gatedHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d.running.Add(1)
 	defer d.running.Add(-1)
 	body, err := io.ReadAll(r.Body)
@@ -121,7 +121,7 @@
 }
 
 // await waits for the start of as many requests as paths, in any order.
-func (d *desk) await(paths ...string) {
+func (d *gatedHandler) await(paths ...string) {
 	d.t.Helper()
 	wanted := make(map[string]bool)
 	for _, path := range paths {
@@ -140,7 +140,7 @@
 }
 
 // awaitNothing checks that no further request is started.
-func (d *desk) awaitNothing() {
+func (d *gatedHandler) awaitNothing() {
 	d.t.Helper()
 	select {
 	case path := <-d.begun:
--- a/internal/pipeliner/connection.go
+++ b/internal/pipeliner/connection.go
@@ -48,10 +48,10 @@
 	lineEnds int
 	// firstDeadline ends the wait for the first request.
 	firstDeadline time.Time
-	// lingers says that the caller may still be sending what is not read any more, and deaf
+	// lingers says that the caller may still be sending what is not read any more, and unreadable
 	// that the connection can't be read any more.
-	lingers bool
-	deaf    bool
+	lingers    bool
+	unreadable bool
 
 	mutex sync.Mutex
 	// turned is signalled when the line has changed or the connection is severed.
@@ -102,7 +102,7 @@
 		c.awaitBody(ahead)
 	}
 	if x := c.next(); x != nil {
-		c.server.crew.run(turn{connection: c, ahead: x})
+		c.server.workers.run(turn{connection: c, ahead: x})
 		x.run()
 		return
 	}
@@ -197,7 +197,7 @@
 // mayBegin reports whether the next request may be read. It is called with the mutex held by
 // the goroutine of the connection.
 func (c *connection) mayBegin() bool {
-	if c.announced || c.deaf {
+	if c.announced || c.unreadable {
 		return false
 	}
 	c.skipLineEnds()
@@ -207,8 +207,8 @@
 	return c.line.isEmpty() || !c.stopping && c.line.hasRoom(c.server)
 }
 
-// start puts a request in line, unless it is behind a response that closes the connection. A request that can't share the connection waits until nothing is
-// ahead of it.
+// start puts a request in line, unless it is behind a response that closes the connection. A
+// request that can't share the connection waits until nothing is ahead of it.
 func (c *connection) start(x *exchange) bool {
 	if !c.awaitLine(func() bool { return c.announced || c.line.isEmpty() || x.mayShare() }) {
 		return false
@@ -242,7 +242,7 @@
 			// The caller has left what is ahead too.
 			c.severLocked()
 		}
-		c.stopping, c.announced, c.deaf, c.lingers = true, true, true, true
+		c.stopping, c.announced, c.unreadable, c.lingers = true, true, true, true
 		return
 	}
 	c.line.charge(x, c.position()-x.position)
--- a/internal/pipeliner/pipeliner.go
+++ b/internal/pipeliner/pipeliner.go
@@ -3,10 +3,11 @@
 // order of the requests, each as soon as those before it are out.
 //
 // One goroutine of a connection reads. When it has a request, it leaves the reading to a new
-// one and runs the handler. The first WriteHeader or Write of a response waits until the responses before it are out, so that
-// nothing is buffered for it here. A request that may not run twice is started only when
-// nothing is ahead of it, and nothing behind it is read until its response is out: a caller
-// sends everything again that was sent behind a response that closes the connection.
+// one and runs the handler. The first WriteHeader or Write of a response waits until the
+// responses before it are out, so that nothing is buffered for it here. A request that may not
+// run twice is started only when nothing is ahead of it, and nothing behind it is read until its
+// response is out: a caller sends everything again that was sent behind a response that closes
+// the connection.
 //
 // Where a handler asks for the end of the connection while requests behind its own are in
 // progress, the last of their responses says so, and nothing else is read.
@@ -71,7 +72,7 @@
 	connections map[*connection]struct{}
 	stopping    bool
 	closed      bool
-	crew        *crew
+	workers     *workers
 	// ended is closed when the last connection has ended after a Shutdown.
 	ended chan struct{}
 }
@@ -89,7 +90,7 @@
 		switch {
 		case err == nil:
 			pause = firstAcceptPause
-			p.crew.run(turn{connection: p.newConnection(conn)})
+			p.workers.run(turn{connection: p.newConnection(conn)})
 		case p.isStopping():
 			return http.ErrServerClosed
 		case isTemporary(err):
@@ -161,7 +162,7 @@
 	if p.listeners == nil {
 		p.listeners = make(map[net.Listener]struct{})
 		p.connections = make(map[*connection]struct{})
-		p.crew = newCrew()
+		p.workers = newWorkers()
 	}
 	p.listeners[listener] = struct{}{}
 	return true
@@ -200,8 +201,8 @@
 	case <-p.ended:
 	default:
 		close(p.ended)
-		if p.crew != nil {
-			close(p.crew.quit)
+		if p.workers != nil {
+			close(p.workers.quit)
 		}
 	}
 }
--- a/internal/pipeliner/pipeliner_test.go
+++ b/internal/pipeliner/pipeliner_test.go
@@ -41,7 +41,7 @@
 // The users' report: several look-ups that are sent ahead take the sum of their times. All
 // four must be in progress at once, and their responses come in order.
 func TestRequestsSentAheadRunSideBySide(t *testing.T) {
-	d := newDesk(t)
+	d := newGatedHandler(t)
 	c := call(t, serve(t, &Pipeliner{Handler: d}), get("/1")+get("/2")+get("/3")+get("/4"))
 	d.await("/1", "/2", "/3", "/4")
 	d.release("/4", "/3", "/2")
@@ -58,7 +58,7 @@
 
 // Each response goes out as soon as those before it are out.
 func TestResponsesDoNotWaitForThoseBehind(t *testing.T) {
-	d := newDesk(t)
+	d := newGatedHandler(t)
 	c := call(t, serve(t, &Pipeliner{Handler: d}), get("/1"))
 	d.await("/1")
 	c.send(get("/2"))
@@ -78,7 +78,7 @@
 // Guards against TWICE: a caller sends everything again that was behind a response that closes
 // the connection, so a request that may not be repeated is started only when nothing is ahead.
 func TestRequestThatMayNotBeRepeatedWaits(t *testing.T) {
-	d := newDesk(t)
+	d := newGatedHandler(t)
 	c := call(t, serve(t, &Pipeliner{Handler: d}), get("/1")+get("/2")+post("/3")+get("/4")+get("/5"))
 	d.await("/1", "/2")
 	d.awaitNothing()
@@ -101,7 +101,7 @@
 // A request that may not be repeated and waits for its turn is not started behind a response
 // that closes the connection, and nor is anything behind it.
 func TestNothingIsStartedBehindAResponseThatCloses(t *testing.T) {
-	d := newDesk(t)
+	d := newGatedHandler(t)
 	c := call(t, serve(t, &Pipeliner{Handler: d}), get("/close")+post("/2")+get("/3"))
 	d.await("/close")
 	d.release("/close", "/2", "/3")
@@ -115,7 +115,7 @@
 // Guards against LOST: a request that was started is answered, also if a handler ahead of it
 // wants the connection to end. The last of them says so.
 func TestStartedRequestsAreAnsweredBeforeTheEnd(t *testing.T) {
-	d := newDesk(t)
+	d := newGatedHandler(t)
 	c := call(t, serve(t, &Pipeliner{Handler: d}), get("/close")+get("/2")+get("/3"))
 	d.await("/close", "/2", "/3")
 	d.release("/close")
@@ -137,7 +137,7 @@
 // behind it is cancelled at once.
 func TestResponseThatIsNotWhole(t *testing.T) {
 	for _, path := range []string{"/abort", "/panic", "/short"} {
-		d := newDesk(t)
+		d := newGatedHandler(t)
 		logged := &lines{}
 		c := call(t, serve(t, &Pipeliner{Handler: d, ErrorLog: logged.logger()}), get("/1")+get(path)+get("/3")+post("/4"))
 		d.await("/1", path, "/3")
@@ -169,7 +169,7 @@
 		},
 	} {
 		for _, sent := range []string{get("/1"), get("/1") + get("/2"), get("/1") + get("/2") + post("/3"), get("/1") + get("/2") + "GET /3 HT"} {
-			d := newDesk(t)
+			d := newGatedHandler(t)
 			c := call(t, serve(t, &Pipeliner{Handler: d}), sent)
 			if sent == get("/1") {
 				d.await("/1")
@@ -192,7 +192,7 @@
 		"requests": {MaxRequests: 3},
 		"bytes":    {MaxBytes: int64(len(get("/1"))*2 + 1)},
 	} {
-		d := newDesk(t)
+		d := newGatedHandler(t)
 		p.Handler = d
 		var sent strings.Builder
 		const count = 10
@@ -216,7 +216,7 @@
 
 // While nothing may be read ahead, requests are served one after the other.
 func TestNothingIsReadAhead(t *testing.T) {
-	d := newDesk(t)
+	d := newGatedHandler(t)
 	var reads atomic.Bool
 	c := call(t, serve(t, &Pipeliner{Handler: d, ReadsAhead: reads.Load}), get("/1")+get("/2")+get("/3")+get("/4"))
 	d.await("/1")
@@ -307,7 +307,7 @@
 
 // A caller that waits for 100 Continue behind another request is noticed when it leaves.
 func TestCallerThatLeavesBeforeItsBody(t *testing.T) {
-	d := newDesk(t)
+	d := newGatedHandler(t)
 	p := &Pipeliner{Handler: d, MayRepeat: func(*http.Request) bool { return true }}
 	c := call(t, serve(t, p), get("/1")+"PUT /2 HTTP/1.1\r\n"+host+"Expect: 100-continue\r\nContent-Length: 4\r\n\r\n")
 	d.await("/1")
@@ -325,7 +325,7 @@
 		"chunks": "PUT /2 HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n8\r\nbody",
 	} {
 		for _, leave := range []func(*caller) error{(*caller).Close, func(c *caller) error { return c.CloseWrite() }} {
-			d := newDesk(t)
+			d := newGatedHandler(t)
 			c := call(t, serve(t, &Pipeliner{Handler: d, MayRepeat: func(*http.Request) bool { return true }}), get("/1")+head)
 			d.await("/1")
 			eventually(t, "the body is not read", func() bool { return d.running.Load() == 2 })
@@ -333,7 +333,7 @@
 			eventually(t, "requests ahead of a body that broke off go on: "+name, func() bool { return d.running.Load() == 0 })
 		}
 	}
-	d := newDesk(t)
+	d := newGatedHandler(t)
 	malformed := "PUT /2 HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\nx\r\n"
 	c := call(t, serve(t, &Pipeliner{Handler: d, MayRepeat: func(*http.Request) bool { return true }}), get("/1")+malformed)
 	d.await("/1")
--- a/internal/pipeliner/stop_test.go
+++ b/internal/pipeliner/stop_test.go
@@ -26,7 +26,7 @@
 // A stop closes idle connections at once, finishes what is in progress, starts nothing behind
 // it, and says in the last response that the connection ends.
 func TestGracefulStop(t *testing.T) {
-	d := newDesk(t)
+	d := newGatedHandler(t)
 	p := &Pipeliner{Handler: d, ReadHeaderTimeout: patience}
 	address := serve(t, p)
 	d.release("/idle")
@@ -88,7 +88,7 @@
 
 // A stop whose time is over returns, and Close ends what is left.
 func TestStopThatTakesTooLong(t *testing.T) {
-	d := newDesk(t)
+	d := newGatedHandler(t)
 	p := &Pipeliner{Handler: d}
 	c := call(t, serve(t, p), get("/1")+get("/2"))
 	d.await("/1", "/2")
@@ -146,7 +146,7 @@
 
 // A hook that panics ends its connection and no other.
 func TestPanicOfAHook(t *testing.T) {
-	d := newDesk(t)
+	d := newGatedHandler(t)
 	logged := &lines{}
 	p := &Pipeliner{Handler: d, ErrorLog: logged.logger(), MayRepeat: func(*http.Request) bool { panic("odd request") }}
 	address := serve(t, p)
--- a/internal/pipeliner/unwhole_test.go
+++ b/internal/pipeliner/unwhole_test.go
@@ -45,7 +45,7 @@
 func TestEndBehindAResponseThatIsNotWhole(t *testing.T) {
 	put := "PUT /2 HTTP/1.1\r\n" + host + "Content-Length: 10\r\n\r\nbody"
 	for _, behind := range []string{"", "GET /2 HT", put} {
-		d := newDesk(t)
+		d := newGatedHandler(t)
 		p := &Pipeliner{Handler: d, MayRepeat: func(*http.Request) bool { return true }}
 		c := call(t, serve(t, p), get("/abort")+behind)
 		d.await("/abort")
@@ -59,7 +59,7 @@
 // What ends the reading behind such a response does not cut off what is ahead of it.
 func TestResponseAheadOfABodyThatIsNotReadAnyMore(t *testing.T) {
 	for _, behind := range []string{"GET /3 HT", "PUT /3 HTTP/1.1\r\n" + host + "Content-Length: 10\r\n\r\nbody"} {
-		d := newDesk(t)
+		d := newGatedHandler(t)
 		p := &Pipeliner{Handler: d, MayRepeat: func(*http.Request) bool { return true }}
 		c := call(t, serve(t, p), get("/1")+get("/abort")+behind)
 		d.await("/1", "/abort")
@@ -80,7 +80,7 @@
 	malformed := "PUT /3 HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\nx\r\n"
 	for name, last := range map[string]string{"abort": get("/abort"), "malformed": malformed, "unread": unread} {
 		t.Run(name, func(t *testing.T) {
-			d := newDesk(t)
+			d := newGatedHandler(t)
 			handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				if r.URL.Path == "/unread" {
 					http.Error(w, "unread", http.StatusServiceUnavailable)
--- a/internal/pipeliner/watch.go
+++ b/internal/pipeliner/watch.go
@@ -17,7 +17,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for !c.severed && !ready() {
-		if c.deaf || c.reader.Buffered() == c.reader.Size() {
+		if c.unreadable || c.reader.Buffered() == c.reader.Size() {
 			c.turned.Wait()
 			continue
 		}
--- a/internal/pipeliner/wire_test.go
+++ b/internal/pipeliner/wire_test.go
@@ -230,7 +230,7 @@
 // A caller that waits for 100 Continue behind other requests gets it when their responses are
 // out.
 func TestContinueWaitsForItsTurn(t *testing.T) {
-	d := newDesk(t)
+	d := newGatedHandler(t)
 	c := call(t, serve(t, &Pipeliner{Handler: d}), get("/1")+"PUT /2 HTTP/1.1\r\n"+host+"Expect: 100-continue\r\nContent-Length: 4\r\n\r\n")
 	d.await("/1")
 	d.release("/1", "/2")
@@ -246,7 +246,7 @@
 
 // A body is read before what follows it, also if it comes late.
 func TestBodyThatComesLate(t *testing.T) {
-	d := newDesk(t)
+	d := newGatedHandler(t)
 	p := newLimited(d)
 	p.MayRepeat = func(*http.Request) bool { return true }
 	c := call(t, serve(t, p), "PUT /1 HTTP/1.1\r\n"+host+"Content-Length: 4\r\n\r\nbo")
@@ -261,7 +261,7 @@
 
 // The idle timeout runs from the last response; a request in progress is not idle.
 func TestIdleTimeout(t *testing.T) {
-	d := newDesk(t)
+	d := newGatedHandler(t)
 	c := call(t, serve(t, newLimited(d)), get("/1"))
 	d.await("/1")
 	time.Sleep(idleTimeout + headerTimeout + quiet)
--- a/internal/pipeliner/crew.go
+++ b/internal/pipeliner/workers.go
@@ -5,9 +5,9 @@
 // keptGoroutines limits the goroutines that wait for work.
 const keptGoroutines = 64
 
-// crew runs connections on goroutines that it keeps, so that not each request pays for the
+// workers runs connections on goroutines that it keeps, so that not each request pays for the
 // growth of a new stack.
-type crew struct {
+type workers struct {
 	turns chan turn
 	idle  atomic.Int32
 	// quit ends the goroutines that wait.
@@ -20,11 +20,11 @@
 	ahead      *exchange
 }
 
-func newCrew() *crew {
-	return &crew{turns: make(chan turn), quit: make(chan struct{})}
+func newWorkers() *workers {
+	return &workers{turns: make(chan turn), quit: make(chan struct{})}
 }
 
-func (w *crew) run(t turn) {
+func (w *workers) run(t turn) {
 	select {
 	case w.turns <- t:
 	default:
@@ -32,14 +32,14 @@
 	}
 }
 
-func (w *crew) work(t turn) {
+func (w *workers) work(t turn) {
 	for kept := true; kept; t, kept = w.await() {
 		t.connection.serve(t.ahead)
 	}
 }
 
 // await waits for work. It returns false if the goroutine must end.
-func (w *crew) await() (turn, bool) {
+func (w *workers) await() (turn, bool) {
 	defer w.idle.Add(-1)
 	if w.idle.Add(1) > keptGoroutines {
 		return turn{}, false
--- a/internal/receiver/caller.go
+++ b/internal/receiver/caller.go
@@ -34,7 +34,7 @@
 }
 
 // callerLeft reports whether the caller of a request that was read in full has closed its
-// connection. net/http notices that too, but only after the handler has started: too late
+// connection. The server notices that too, but only after the handler has started: too late
 // for a request that has waited long to be read.
 func callerLeft(ctx context.Context) bool {
 	if ctx.Err() != nil {
@@ -49,7 +49,7 @@
 		return true
 	}
 	left := false
-	// Control does not wait for the goroutine of net/http that reads from the connection.
+	// Control does not wait for the goroutine of the server that reads from the connection.
 	err = raw.Control(func(fd uintptr) {
 		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		waiting := errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
