--- a/internal/receiver/caller.go
+++ b/internal/receiver/caller.go
@@ -13,7 +13,7 @@
 // connectionKey is the key of a caller's connection in the context of its requests.
 type connectionKey struct{}
 
-// ConnContext is the ConnContext of the http.Server whose handler is Serve.
+// ConnContext is the ConnContext of the server whose handler is Serve.
 func (r *Receiver) ConnContext(ctx context.Context, conn net.Conn) context.Context {
 	return context.WithValue(ctx, connectionKey{}, conn)
 }
@@ -21,7 +21,7 @@
 // connectionBytes is what a caller's connection holds while no request is in progress.
 const connectionBytes = 20 << 10
 
-// ConnState is the ConnState of the http.Server whose handler is Serve. It counts the memory
+// ConnState is the ConnState of the server whose handler is Serve. It counts the memory
 // of connections.
 func (r *Receiver) ConnState(_ net.Conn, state http.ConnState) {
 	loan := traffic.Loan{Holder: traffic.ConnectionMemory, Bytes: connectionBytes}
@@ -34,7 +34,7 @@
 }
 
 // callerLeft reports whether the caller of a request that was read in full has closed its
-// connection. net/http notices that too, but only after the handler has started: too late
+// connection. The server notices that too, but only after the handler has started: too late
 // for a request that has waited long to be read.
 func callerLeft(ctx context.Context) bool {
 	if ctx.Err() != nil {
@@ -49,7 +49,7 @@
 		return true
 	}
 	left := false
-	// Control does not wait for the goroutine of net/http that reads from the connection.
+	// Control does not wait for the goroutine of the server that reads from the connection.
 	err = raw.Control(func(fd uintptr) {
 		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		waiting := errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
