Believe the record of an instance that returns after a restoration of the store

Cause: an instance that is cut off from the store until its record is gone is remembered as ended. If the store comes back from a copy meanwhile, the others took the record that it writes again for one that the copy had brought back, and dropped it for good: nothing told them of it once more. After 30 s they divided all shared bounds without an instance that uses its shares. Ruled out: believing such records at once, since the instance may have ended under a lease of the store's former era. Change: the record is kept aside, dropped if the store removes it, and believed once a copy can't have brought it back. Test: TestInstanceThatReturnsAfterARestoration, seen failing without the change with records["front-2"] is nil.

--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"maps"
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/traffic"
@@ -111,8 +112,10 @@
 
 func (s *Steerer) handleInstanceSeen(i traffic.Instance) {
 	if s.isFormerInstance(i) {
+		s.former.returned[i.Name] = i
 		return
 	}
+	delete(s.former.returned, i.Name)
 	existing := s.instances.records[i.Name]
 	if existing != nil && existing.Incarnation == i.Incarnation && existing.Leaving && s.isRestored() {
 		i.Leaving = true
@@ -131,6 +134,7 @@
 }
 
 func (s *Steerer) handleInstanceGone(name string, revision int64) {
+	delete(s.former.returned, name)
 	existing := s.instances.records[name]
 	if existing == nil || existing.missing {
 		return
@@ -166,6 +170,7 @@
 
 func (s *Steerer) handleInstancesListed(e traffic.InstancesListed) {
 	s.instancesListed = true
+	maps.DeleteFunc(s.former.returned, func(name string, _ traffic.Instance) bool { return !e.Names[name] })
 	for name := range s.instances.records {
 		if !e.Names[name] {
 			s.handleInstanceGone(name, e.Revision)
--- a/internal/steerer/restoration.go
+++ b/internal/steerer/restoration.go
@@ -17,11 +17,16 @@
 	// known by their incarnations.
 	servers   map[process]time.Time
 	instances map[string]time.Time
+	// returned holds the records, by name, of instances that are taken to have ended and that
+	// the store holds again. One that is still there when a copy can't have brought it back any
+	// more is of an instance that was only cut off from the store.
+	returned map[string]traffic.Instance
 }
 
 func (f *formerRecords) initialize() {
 	f.servers = make(map[process]time.Time)
 	f.instances = make(map[string]time.Time)
+	f.returned = make(map[string]traffic.Instance)
 }
 
 func (f *formerRecords) expire(now time.Time) {
@@ -86,3 +91,14 @@
 	_, ended := s.former.instances[i.Incarnation]
 	return ended && s.now.Before(s.store.restoredUntil.Add(s.times().Lease()))
 }
+
+// believeReturned believes the records of instances that were taken to have ended, once the
+// leases that a copy has brought back are over.
+func (s *Steerer) believeReturned() {
+	for name, i := range s.former.returned {
+		if !s.isFormerInstance(i) {
+			delete(s.former.returned, name)
+			s.handleInstanceSeen(i)
+		}
+	}
+}
--- a/internal/steerer/restoration_test.go
+++ b/internal/steerer/restoration_test.go
@@ -220,3 +220,22 @@
 	b.advance(b.times().JoinDelay()).handle(traffic.Ticked{})
 	assert.Assert(t, b.coldLimit(b.upstreams["s1"]) >= 6, "13 requests among two")
 }
+
+// An instance that was cut off from the store until its record was gone writes it again just
+// when the store has come back from a copy. The others count it again, once a copy can't have
+// brought the record back any more; one that has ended stays so.
+func TestInstanceThatReturnsAfterARestoration(t *testing.T) {
+	b := newReadyBench(t, server("s1", "a1"))
+	own := traffic.InstanceSeen{Instance: b.Self}
+	cutOff := traffic.InstanceSeen{Instance: traffic.Instance{Name: "front-2", Domain: "a1", Region: "a", Incarnation: "2"}}
+	ended := traffic.InstanceSeen{Instance: traffic.Instance{Name: "front-3", Domain: "a1", Region: "a", Incarnation: "3"}}
+	b.handle(cutOff)
+	b.handle(ended)
+	b.handle(traffic.InstanceGone{Name: "front-2", Revision: 5})
+	b.handle(traffic.InstanceGone{Name: "front-3", Revision: 6})
+	b.restore(own, cutOff, ended, copied(server("s1", "a1")))
+	b.advance(b.times().Lease() - time.Second).handle(traffic.InstanceGone{Name: "front-3", Revision: inNewEra(101)})
+	b.advance(b.times().RestorationWait() + 2*time.Second).handle(traffic.Ticked{})
+	assert.Assert(t, b.instances.records["front-2"] != nil)
+	assert.Assert(t, b.instances.records["front-3"] == nil)
+}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -212,6 +212,7 @@
 	s.removeMissingInstances()
 	s.instances.expireDeparted(s.now)
 	s.former.expire(s.now)
+	s.believeReturned()
 	s.recordDivision()
 	s.publishLimits()
 	s.publishSize()
