Report negative bounds of quotas among the findings

Cause: quota_window, quota_excess and quota_slack were read and not checked. Test: TestEveryFindingIsReported asks for the three, seen failing with fields[field] is false: /bounds/quota_window.

--- a/internal/preparer/preparer.go
+++ b/internal/preparer/preparer.go
@@ -128,6 +128,9 @@
 		{"/bounds/retry_slack", b.RetrySlack},
 		{"/bounds/cold_slack", b.ColdSlack},
 		{"/bounds/shift_cap", b.ShiftCap},
+		{"/bounds/quota_window", b.QuotaWindow.Seconds()},
+		{"/bounds/quota_excess", b.QuotaExcess},
+		{"/bounds/quota_slack", b.QuotaSlack},
 		{"/bounds/revoke", b.Revoke.Seconds()},
 	} {
 		if setting.value < 0 {
--- a/internal/preparer/preparer_test.go
+++ b/internal/preparer/preparer_test.go
@@ -39,7 +39,7 @@
 
 func TestEveryFindingIsReported(t *testing.T) {
 	err := load(t, `{"instance": "", "failure_domain": "a", "region": "b", "caller_address": "nowhere", "memory_mb": 0, "processor_share": -1, "link_mbps": -1,
-		"bounds": {"grace": "0s", "retry_ratio": -1}}`)
+		"bounds": {"grace": "0s", "retry_ratio": -1, "quota_window": "-1s", "quota_excess": -0.1, "quota_slack": -1}}`)
 	var findings *model.FindingsError
 	assert.Assert(t, errors.As(err, &findings))
 	fields := make(map[string]bool)
@@ -48,6 +48,7 @@
 	}
 	for _, field := range []string{
 		"/instance", "/caller_address", "/store_address", "/memory_mb", "/processor_share", "/link_mbps", "/bounds/grace", "/bounds/retry_ratio", "/failure_domains",
+		"/bounds/quota_window", "/bounds/quota_excess", "/bounds/quota_slack",
 	} {
 		assert.Assert(t, fields[field], field)
 	}
