Hold the quotas of organisations over all instances by lent tokens

Ruled out: parts by membership (callers on one of 88 instances would have 1/88 of their quota), parts in the store (writes, and nothing while it is away), a fixed part beside the lots (less than a token a second for all but the largest, taken from callers on a few instances). Change: a quota is divided into slots, one for each region and three at least; from each a strong instance of the region lends tokens in lots that last 0.3 s or 2 s (lender, borrower, steerer/lenders.go, quota.go, quota_ask.go), over the calls between instances. A request that finds no token waits for a round trip, or is refused at once (429, over_quota, Retry-After when a token is due) if no slot has one. Each attempt takes a token; one that has not run gives it back, and one that is held up long after its token's time is not sent. A new process learns at its first read whether the store ever came back from a copy. Changed checks: none of the existing tests. Tests: with the quota switched off, TestQuotaInTrouble, TestQuotaOfAHotOrganisation, TestChangesOfQuotas and TestQuotaWithoutCallsBetweenInstances fail, the first with 488 requests more than allowed, and so do the ones of quota_test.go but for those that need no quota.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -38,6 +38,8 @@
 	// Publish is called with each traffic.PublishLimits and traffic.PublishFleetSize; it
 	// must not block.
 	Publish func(traffic.Effect)
+	// AskLender asks the instance at an address for tokens of quotas.
+	AskLender func(address string, query traffic.QuotaQuery) (traffic.QuotaReply, error)
 
 	mutex    sync.Mutex
 	lastCall uint64
@@ -183,6 +185,8 @@
 		c.AnnounceBusy(e.Busy)
 	case traffic.PublishLimits, traffic.PublishFleetSize:
 		c.Publish(e)
+	case traffic.AskLender:
+		c.askLender(e)
 	}
 }
 
--- /dev/null
+++ b/internal/carrier/quota.go
@@ -0,0 +1,30 @@
+package carrier
+
+import "github.com/yuccathread/yuccathread/internal/traffic"
+
+// LendQuota returns what this instance lends to another one.
+func (c *Carrier) LendQuota(q traffic.QuotaQuery) traffic.QuotaReply {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var reply traffic.QuotaReply
+	for _, effect := range c.decide(traffic.QuotaWanted{Query: q}) {
+		if r, ok := effect.(traffic.QuotaReply); ok {
+			reply = r
+			continue
+		}
+		c.execute(effect)
+	}
+	return reply
+}
+
+// askLender sends a query to a lender of quotas.
+func (c *Carrier) askLender(e traffic.AskLender) {
+	go func() {
+		reply, err := c.AskLender(e.Address, e.Query)
+		if err != nil {
+			c.Handle(traffic.LenderFailed{Number: e.Number, Err: err})
+			return
+		}
+		c.Handle(traffic.QuotaLent{Number: e.Number, Reply: reply})
+	}()
+}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -140,6 +140,8 @@
 	if f.revision > 0 {
 		f.Handle(traffic.StoreRestored{Era: changes.Era, Revision: changes.Revision})
 		f.rereadAt = time.Now().Add(f.Times.RestorationWait() + f.Times.CallTime())
+	} else {
+		f.Handle(traffic.StoreEraSeen{Era: changes.Era})
 	}
 	f.era = changes.Era
 }
--- a/internal/gossiper/gossiper.go
+++ b/internal/gossiper/gossiper.go
@@ -71,6 +71,13 @@
 	return reply, err
 }
 
+// Lend asks a lender of quotas.
+func (g *Gossiper) Lend(address string, query traffic.QuotaQuery) (traffic.QuotaReply, error) {
+	var reply traffic.QuotaReply
+	err := g.call(address, "Lend", query, &reply)
+	return reply, err
+}
+
 // Timeline requests records from an instance's timeline.
 func (g *Gossiper) Timeline(address string, query model.TimelineQuery) ([]model.Record, error) {
 	var records []model.Record
@@ -169,7 +176,7 @@
 }
 
 // Serve registers the methods of peer (Exchange, Configuration, Table, Timeline, or
-// Changes on a managed platform) on a mux.
+// Changes and Lend on a managed platform) on a mux.
 func Serve(mux *http.ServeMux, peer any) error {
 	server := rpc.NewServer()
 	if err := server.RegisterName(rpcService, peer); err != nil {
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -40,6 +40,8 @@
 	tickInterval = 100 * time.Millisecond
 	// sweepTicks is the number of ticks between two sweeps of idle connections.
 	sweepTicks = 10
+	// lendTimeout bounds a call to a lender of quotas. Requests wait less long for it.
+	lendTimeout = 500 * time.Millisecond
 	// maxBodyBytes limits the body of one request, where the configuration does not, and
 	// that of one response.
 	maxBodyBytes = 8 << 20
@@ -149,6 +151,8 @@
 		AnnounceBusy: l.registrar.SetBusy,
 		Publish:      l.publisher.Publish,
 	}
+	lenders := gossiper.Gossiper{Timeout: lendTimeout}
+	l.carrier.AskLender = lenders.Lend
 	l.registrar.Kept = func(e traffic.RecordKept) { l.carrier.Handle(e) }
 	peers := gossiper.Gossiper{Timeout: l.times.RelayWait() + l.times.RelayTimeout()}
 	l.relayer = &relayer.Relayer{
--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -41,7 +41,7 @@
 	add(l.Settings.MetricsAddress, "GET /metrics", &exposer.Exposer{Registry: l.registry, Prefix: "yuccathread_", Update: l.updateGauges})
 	if l.Settings.PeerAddress != "" {
 		mux := http.NewServeMux()
-		if err := l.relayer.Serve(mux); err != nil {
+		if err := l.servePeers(mux); err != nil {
 			return err
 		}
 		muxes[l.Settings.PeerAddress] = mux
@@ -68,6 +68,10 @@
 			metrics.GetOrRegisterGauge("organisation_requests."+use.Name, l.registry).Update(use.Requests)
 			metrics.GetOrRegisterGauge("organisation_refused."+use.Name, l.registry).Update(use.Refused)
 		}
+		quotas := s.QuotaUse()
+		metrics.GetOrRegisterGauge("quota.slots_lent", l.registry).Update(int64(quotas.Slots))
+		metrics.GetOrRegisterGauge("quota.queries", l.registry).Update(quotas.Queries)
+		metrics.GetOrRegisterGauge("quota.refusals", l.registry).Update(quotas.Refusals)
 		instances, dividedBy := s.Division()
 		metrics.GetOrRegisterGauge("instances_known", l.registry).Update(int64(instances))
 		metrics.GetOrRegisterGauge("bounds_divided_by", l.registry).Update(int64(dividedBy))
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -110,6 +110,12 @@
 
 // Serve answers the queries of other instances on a mux.
 func (r *Relayer) Serve(mux *http.ServeMux) error {
+	r.RegisterEvents()
+	return gossiper.Serve(mux, r)
+}
+
+// RegisterEvents tells package gob of the events that queries and their replies hold.
+func (r *Relayer) RegisterEvents() {
 	// Short names, since each event carries its own.
 	for name, event := range map[string]traffic.Event{
 		"policy":          traffic.PolicySeen{},
@@ -125,7 +131,6 @@
 	} {
 		gob.RegisterName(name, event)
 	}
-	return gossiper.Serve(mux, r)
 }
 
 // Age returns how old what this instance knows of the store may be, or zero before its first
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -39,6 +39,10 @@
 	service    string
 	// policyNumber is that of the policy by which route and service were last checked.
 	policyNumber uint64
+	// quotaSeen is set once the call counts in the demand for its organisation's quota, and
+	// waitsSince is when it began to wait for a token, or zero if it does not.
+	quotaSeen  bool
+	waitsSince time.Time
 	// readAt is when the first byte of the request was read.
 	readAt time.Time
 	// deadline is when the final response is due.
@@ -74,6 +78,8 @@
 	number int
 	server *upstream
 	sentAt time.Time
+	// token is what the attempt has taken from its organisation's quota.
+	token token
 	estimate
 }
 
@@ -182,6 +188,9 @@
 		s.giveUp(c, refusal, 0)
 		return
 	}
+	if s.lacksQuota(c) {
+		return
+	}
 	choice := s.place(c)
 	if choice.server == nil {
 		c.lastChoice = choice
@@ -196,7 +205,7 @@
 	u := choice.server
 	c.attempts++
 	c.pending = append(c.pending, &attempt{
-		number: c.attempts, server: u, sentAt: s.now, estimate: choice.estimate,
+		number: c.attempts, server: u, sentAt: s.now, token: s.takeQuota(c), estimate: choice.estimate,
 	})
 	c.lastChoice = choice
 	c.tried[u.ID] = true
@@ -276,13 +285,21 @@
 		s.refuse(c, reason, traffic.Unknown, 0)
 	default:
 		if reason != traffic.Stopping && reason != traffic.NoRoute && reason != traffic.Unidentified {
-			remaining := c.deadline.Sub(s.now)
-			retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter, max(remaining/3, minRetryAfter))
+			retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter, s.latestReturn(c, reason))
 		}
 		s.refuse(c, reason, traffic.NotRun, retryAfter)
 	}
 }
 
+// latestReturn returns the longest delay before a refused call comes back: it then still has
+// most of its time. A call beyond its organisation's quota is told when there is a token.
+func (s *Steerer) latestReturn(c *call, reason traffic.Refusal) time.Duration {
+	if reason == traffic.OverQuota {
+		return maxRetryAfter
+	}
+	return max(c.deadline.Sub(s.now)/3, minRetryAfter)
+}
+
 func (s *Steerer) refuse(c *call, reason traffic.Refusal, fate traffic.Fate, retryAfter time.Duration) {
 	if c.organisation != nil {
 		c.organisation.refused++
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -116,6 +116,9 @@
 		return
 	}
 	delete(s.former.returned, i.Name)
+	if i.Name == s.Self.Name && i.Incarnation != s.Self.Incarnation && !s.instances.ownListed {
+		s.lenders.formerSeen = !i.Leaving
+	}
 	existing := s.instances.records[i.Name]
 	if existing != nil && existing.Incarnation == i.Incarnation && existing.Leaving && s.isRestored() {
 		i.Leaving = true
@@ -190,6 +193,7 @@
 	if m.ownRevision == 0 {
 		m.joinedAt = s.now.Add(s.times().JoinDelay())
 	}
+	s.checkLending()
 	m.ownRevision = max(m.ownRevision, e.Revision)
 	m.keptUntil = s.now.Add(e.Lasts)
 }
--- a/internal/steerer/organisation.go
+++ b/internal/steerer/organisation.go
@@ -11,6 +11,7 @@
 // across policy versions as long as the organisation exists.
 type organisation struct {
 	traffic.Organisation
+	quotaUse
 	// requests and refused count the requests that have arrived and that were refused.
 	requests, refused int64
 }
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -20,6 +20,9 @@
 	}
 	a.server.inFlight--
 	s.observeOutcome(c, a, e.Outcome)
+	if e.Outcome.Fate == traffic.NotRun {
+		s.returnQuota(a.token)
+	}
 	if c.answered {
 		s.removeIfDone(c)
 		return
@@ -189,7 +192,7 @@
 // refused when they have ended: only then is it known whether one of them may have run.
 func (s *Steerer) handleExpired(number uint64) {
 	c := s.calls[number]
-	if c == nil || c.answered || c.expired {
+	if c == nil || c.answered || c.expired || s.stopsWaiting(c) {
 		return
 	}
 	for _, a := range c.pending {
--- a/internal/steerer/record.go
+++ b/internal/steerer/record.go
@@ -32,12 +32,12 @@
 }
 
 func (s *Steerer) recordRefusal(c *call, reason traffic.Refusal, fate traffic.Fate, retryAfter time.Duration) {
-	s.emit(traffic.Record{
-		Level:   slog.LevelWarn,
-		Message: "request refused",
-		Attributes: append(s.callAttributes(c), attr("reason", string(reason)), attr("fate", string(fate)),
-			attr("retry_after", retryAfter)),
-	})
+	attributes := append(s.callAttributes(c), attr("reason", string(reason)), attr("fate", string(fate)),
+		attr("retry_after", retryAfter))
+	if reason == traffic.OverQuota {
+		attributes = append(attributes, s.quotaAttributes(c.organisation)...)
+	}
+	s.emit(traffic.Record{Level: slog.LevelWarn, Message: "request refused", Attributes: attributes})
 }
 
 func (s *Steerer) recordCallerLeft(c *call) {
--- a/internal/steerer/retry.go
+++ b/internal/steerer/retry.go
@@ -63,7 +63,7 @@
 		return
 	}
 	choice := s.place(c)
-	if choice.server == nil || !s.allowRetry(c, true) {
+	if choice.server == nil || !s.hasQuota(c) || !s.allowRetry(c, true) {
 		return
 	}
 	s.recordHedge(c, a, choice)
--- a/internal/steerer/starting.go
+++ b/internal/steerer/starting.go
@@ -13,6 +13,7 @@
 	withdrawnPolicy = "the configuration has changed"
 	withdrawnKeys   = "the keys may be outdated"
 	withdrawnStop   = "the instance is stopping"
+	withdrawnQuota  = "the token has expired"
 )
 
 // handleStarting decides whether an attempt may be sent now that its first byte is due. It
@@ -48,6 +49,8 @@
 		return withdrawnKeys
 	case !s.maySend(c):
 		return withdrawnStop
+	case a.token.outlived(s.now):
+		return withdrawnQuota
 	}
 	return s.obstacle(u)
 }
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -13,9 +13,10 @@
 //
 // There is one file per topic: admission, eligibility, placement, cached objects,
 // the first byte of an attempt (starting.go), outcomes, retries, upstreams, regions, limits of
-// servers, instances, log records, the effects of store outages and evacuations (belief.go),
-// and what a store that was restored from a copy brings back (restoration.go). A Steerer is
-// not safe for concurrent use, and the slice that Reduce returns is valid until the next call.
+// servers, quotas of organisations (quota.go; quota_ask.go asks lenders, lenders.go says who
+// lends), instances, log records, the effects of store outages and evacuations (belief.go), and
+// what a store that was restored from a copy brings back (restoration.go). A Steerer is not safe
+// for concurrent use, and the slice that Reduce returns is valid until the next call.
 package steerer
 
 import (
@@ -54,7 +55,16 @@
 	// organisations holds those of the policy by name, and organisationsByKey by their keys.
 	organisations      map[string]*organisation
 	organisationsByKey map[string]*organisation
-	upstreams          map[string]*upstream
+	// borrowing holds the organisations of whose quotas this instance may need tokens,
+	// lenderLinks the instances that it asks for them, and lenders those that lend.
+	borrowing   []*organisation
+	lenderLinks map[string]*lenderLink
+	lenders     lenders
+	// lastQuery numbers the queries to lenders, and quotaRefusals counts the calls refused for
+	// want of a token.
+	lastQuery     uint64
+	quotaRefusals int64
+	upstreams     map[string]*upstream
 	// formerPacers holds the pacers of removed servers, whose records may return.
 	formerPacers map[process]*pacer.Pacer
 	// notices holds what servers' processes have said of themselves, of those that have
@@ -119,6 +129,7 @@
 	s.roundTrips = make(map[string]*measurer.Measurer)
 	s.instances.initialize()
 	s.former.initialize()
+	s.lenderLinks = make(map[string]*lenderLink)
 }
 
 func (s *Steerer) reduce(e traffic.Event) {
@@ -144,6 +155,7 @@
 	case traffic.SettingsReloaded:
 		s.Settings = e.Settings
 		s.regionNames = nil
+		s.lenders.stale = true
 	case traffic.ServingStarted:
 		s.serving = true
 	case traffic.StopRequested:
@@ -200,6 +212,21 @@
 		s.handleLimitGone(e.Server)
 	case traffic.LimitsListed:
 		s.handleLimitsListed(e.Servers)
+	default:
+		s.reduceQuotaEvent(e)
+	}
+}
+
+func (s *Steerer) reduceQuotaEvent(e traffic.Event) {
+	switch e := e.(type) {
+	case traffic.StoreEraSeen:
+		s.lenders.restored = e.Era > traffic.FirstEra
+	case traffic.QuotaWanted:
+		s.handleQuotaWanted(e.Query)
+	case traffic.QuotaLent:
+		s.handleQuotaLent(e)
+	case traffic.LenderFailed:
+		s.handleLenderFailed(e)
 	}
 }
 
@@ -216,6 +243,7 @@
 	s.recordDivision()
 	s.publishLimits()
 	s.publishSize()
+	s.keepQuotas()
 }
 
 // Ready reports whether callers may use this instance: the policy, the servers and
--- a/internal/steerer/stopping.go
+++ b/internal/steerer/stopping.go
@@ -25,6 +25,7 @@
 // handleSuspended counts the time for which the machine was suspended as part of a stop:
 // the grace time has gone on.
 func (s *Steerer) handleSuspended(period time.Duration) {
+	s.forgetQuotas()
 	if s.stoppingSince.IsZero() {
 		return
 	}
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -117,6 +117,12 @@
 	Revision int64
 }
 
+// FirstEra is the highest era of a store that may never have come back from a copy.
+const FirstEra = 1
+
+// StoreEraSeen reports the era of the store as of the first read, before its records.
+type StoreEraSeen struct{ Era int64 }
+
 // SettingsReloaded reports that the settings were reloaded.
 type SettingsReloaded struct{ Settings Settings }
 
@@ -154,6 +160,7 @@
 func (StoreLost) event()         {}
 func (StoreRegained) event()     {}
 func (StoreRestored) event()     {}
+func (StoreEraSeen) event()      {}
 func (SettingsReloaded) event()  {}
 func (ServingStarted) event()    {}
 func (StopRequested) event()     {}
