Serve quotas with small bursts, and through restarts in order

And when all lenders were restarted in order, 5 s apart, nobody lent from 15 s after the first stop on: the new process of a lender that had stopped was taken for the old one, by others in the lists of the last seconds, and chosen before it lent. Change: a slot is empty if it has not even enough for the calls that wait; even then as many wait as tokens come in 0.15 s. Short lots last 0.25 s in place of 0.3 s, and more room is left for the bucket where the burst is small. A process that follows one that has left may be chosen only when it lends. Ruled out: half of the room for a small burst out of the part of the excess that is left to requests that are held up.

--- a/internal/borrower/borrower.go
+++ b/internal/borrower/borrower.go
@@ -30,6 +30,9 @@
 	// short and long are the average numbers of requests per second as of observedAt.
 	short, long float64
 	observedAt  time.Time
+	// supply is the average number of tokens per second that were added, as of suppliedAt.
+	supply     float64
+	suppliedAt time.Time
 }
 
 type lot struct {
@@ -62,8 +65,19 @@
 	return int(demand * within.Seconds())
 }
 
+// Supply returns the number of tokens per second that have come of late.
+func (b *Borrower) Supply(now time.Time) float64 {
+	return decayed(b.supply, now.Sub(b.suppliedAt), shortTime)
+}
+
 // Add adds a lot that lasts until a time.
 func (b *Borrower) Add(now time.Time, tokens int, until time.Time) {
+	b.supply = b.Supply(now) + float64(max(tokens, 0))/shortTime.Seconds()
+	b.suppliedAt = now
+	b.add(now, tokens, until)
+}
+
+func (b *Borrower) add(now time.Time, tokens int, until time.Time) {
 	if tokens <= 0 || !now.Before(until) {
 		return
 	}
@@ -102,7 +116,7 @@
 
 // Return gives back the token of an attempt that has not run.
 func (b *Borrower) Return(now, until time.Time) {
-	b.Add(now, 1, until)
+	b.add(now, 1, until)
 }
 
 // Clear drops all tokens.
--- a/internal/lender/lender.go
+++ b/internal/lender/lender.go
@@ -29,7 +29,7 @@
 
 const (
 	// ShortLot is how long a lot lasts if tokens are scarce.
-	ShortLot = 300 * time.Millisecond
+	ShortLot = 250 * time.Millisecond
 	// LongLot is how long a lot lasts if there are plenty.
 	LongLot = 2 * time.Second
 	// excessFraction is the fraction of what the rule allows beyond rate and burst that is
@@ -37,7 +37,7 @@
 	excessFraction = 0.5
 	// minRoomFraction is the smallest part of c that is not kept for lots that last. Where
 	// the burst is too small for it, the rate is lowered a little instead.
-	minRoomFraction = 0.25
+	minRoomFraction = 0.4
 	// longFraction is the part of the room that long lots may hold, and reserve the part that
 	// must be left in the bucket beside them.
 	longFraction = 0.5
--- a/internal/steerer/lenders.go
+++ b/internal/steerer/lenders.go
@@ -40,9 +40,8 @@
 	former   []formerLenders
 	// addresses holds the peer addresses of the instances that may lend.
 	addresses map[string]string
-	// choosableFrom maps each known instance to the time from which it may be chosen. A new
-	// one does not lend before that either.
-	choosableFrom map[string]time.Time
+	// candidates holds each known instance by its name.
+	candidates map[string]lenderCandidate
 	// uncountedUntil is the end of the time in which a fleet that has never been counted
 	// starts. Instances that appear until then may be chosen at once.
 	uncountedUntil time.Time
@@ -70,6 +69,14 @@
 	refreshedAt time.Time
 }
 
+// lenderCandidate is an instance that may be chosen as a lender from a time on. A new one lends
+// only when the others have had the time to learn of that.
+type lenderCandidate struct {
+	from        time.Time
+	incarnation string
+	leaving     bool
+}
+
 type formerLenders struct {
 	region string
 	names  []string
@@ -96,8 +103,8 @@
 		return
 	}
 	l.refreshedAt = s.now
-	if l.choosableFrom == nil {
-		l.choosableFrom = make(map[string]time.Time)
+	if l.candidates == nil {
+		l.candidates = make(map[string]lenderCandidate)
 		l.uncounted = s.instances.storedSize == 0
 		l.stale = true
 	}
@@ -121,23 +128,27 @@
 // noteInstances notes from when each instance may be chosen as a lender.
 func (s *Steerer) noteInstances() {
 	l := &s.lenders
-	first := len(l.choosableFrom) == 0
+	first := len(l.candidates) == 0
 	if l.uncounted && s.instances.storedSize == 0 {
 		l.uncountedUntil = s.now.Add(s.times().JoinDelay())
 	}
 	known := make(map[string]bool, s.instances.size())
 	for i := range s.instances.all() {
 		known[i.Name] = true
-		if _, ok := l.choosableFrom[i.Name]; ok {
-			continue
-		}
-		l.choosableFrom[i.Name] = s.now
-		own := i.Name == s.Self.Name && !l.formerSeen
-		if !s.now.Before(l.uncountedUntil) && (!first || own) {
-			l.choosableFrom[i.Name] = s.now.Add(outageAllowance)
+		c, ok := l.candidates[i.Name]
+		// A process that follows one that has left is new; one that follows one that was killed
+		// is still counted on.
+		isNew := !ok || c.leaving && c.incarnation != i.Incarnation
+		c.incarnation, c.leaving = i.Incarnation, i.Leaving
+		if isNew {
+			c.from = s.now
+			if !first && i.Name != s.Self.Name && !s.now.Before(l.uncountedUntil) {
+				c.from = s.now.Add(s.takeoverDelay() - s.times().JoinDelay())
+			}
 		}
+		l.candidates[i.Name] = c
 	}
-	maps.DeleteFunc(l.choosableFrom, func(name string, _ time.Time) bool { return !known[name] })
+	maps.DeleteFunc(l.candidates, func(name string, _ lenderCandidate) bool { return !known[name] })
 }
 
 // checkLending keeps the time from which this instance may lend. An instance that the others
@@ -162,7 +173,7 @@
 	case s.lenders.formerSeen || s.lenders.uncounted:
 		return s.now.Add(s.times().JoinDelay())
 	}
-	return s.now.Add(s.times().JoinDelay() + outageAllowance)
+	return s.now.Add(s.takeoverDelay())
 }
 
 // mayLend reports whether this instance may lend from the slots whose lender it is.
@@ -223,7 +234,7 @@
 			continue
 		case i.Name == s.Self.Name && !s.stoppingSince.IsZero():
 			continue
-		case s.now.Before(l.choosableFrom[i.Name]):
+		case s.now.Before(l.candidates[i.Name].from):
 			recent[i.Region] = append(recent[i.Region], i)
 		default:
 			candidates[i.Region] = append(candidates[i.Region], i)
@@ -273,25 +284,6 @@
 	return regions[(first+k.slot)%n], k.slot / n
 }
 
-// lendsAlone reports whether instances can't call each other. Each then lends to itself, from
-// its part of each quota.
-func (s *Steerer) lendsAlone() bool {
-	return s.Self.PeerAddress == ""
-}
-
-// divideQuota returns one slot of an organisation's quota.
-func (s *Steerer) divideQuota(o *organisation) lender.Quota {
-	if !s.lendsAlone() {
-		return lender.Divide(o.Organisation, s.Settings.Bounds, s.maxSlots())
-	}
-	part, bounds := o.Organisation, s.Settings.Bounds
-	n := float64(s.divisor())
-	part.PerSecond /= n
-	part.Burst /= n
-	bounds.QuotaSlack /= n
-	return lender.Divide(part, bounds, 1)
-}
-
 // lenderOf returns the name of the instance that lends from a slot, or an empty string.
 func (s *Steerer) lenderOf(k slotKey) string {
 	if s.lendsAlone() {
@@ -314,78 +306,3 @@
 	})
 	return ordered[rank%len(ordered)]
 }
-
-// lendsFromSlot reports whether this instance is the lender of a slot by all lists that may be
-// in force anywhere. An instance that has left, or has stopped for certain, is skipped in them.
-func (s *Steerer) lendsFromSlot(k slotKey) bool {
-	l := &s.lenders
-	if s.lenderOf(k) != s.Self.Name {
-		return false
-	}
-	region, rank := s.regionOfSlot(k)
-	for _, f := range l.former {
-		if f.region != region {
-			continue
-		}
-		running := slices.DeleteFunc(slices.Clone(f.names), func(name string) bool { return l.addresses[name] == "" })
-		if len(running) > 0 && pickLender(running, k.organisation, rank) != s.Self.Name {
-			return false
-		}
-	}
-	return true
-}
-
-// rebuildSlots creates and drops what this instance lends, and applies the policy in force.
-func (s *Steerer) rebuildSlots() {
-	l := &s.lenders
-	// Until it may lend, nothing must fill up.
-	l.stale = !s.mayLend()
-	l.rebuiltFor = s.policyNumber
-	former := l.slots
-	filled := 0.0
-	if l.uncounted && !l.lent {
-		filled = startFill
-	}
-	l.slots = make(map[slotKey]*lender.Lender)
-	if l.stale {
-		return
-	}
-	l.lent = true
-	for name, o := range s.organisations {
-		if !o.limited() {
-			continue
-		}
-		quota := s.divideQuota(o)
-		for slot := range quota.Slots {
-			k := slotKey{organisation: name, slot: slot}
-			if !s.lendsFromSlot(k) {
-				continue
-			}
-			x := former[k]
-			if x == nil {
-				x = &lender.Lender{Filled: filled}
-			}
-			x.SetQuota(s.now, quota)
-			l.slots[k] = x
-		}
-	}
-}
-
-// handleQuotaWanted lends another instance what it wants.
-func (s *Steerer) handleQuotaWanted(q traffic.QuotaQuery) {
-	reply := traffic.QuotaReply{Lots: make([]traffic.QuotaLot, 0, len(q.Wishes))}
-	for _, w := range q.Wishes {
-		reply.Lots = append(reply.Lots, s.lend(w))
-	}
-	s.emit(reply)
-}
-
-// lend lends from a slot.
-func (s *Steerer) lend(w traffic.QuotaWish) traffic.QuotaLot {
-	s.checkLending()
-	x := s.lenders.slots[slotKey{organisation: w.Organisation, slot: w.Slot}]
-	if x == nil || !s.mayLend() {
-		return traffic.QuotaLot{}
-	}
-	return x.Lend(s.now, w)
-}
--- a/internal/steerer/quota.go
+++ b/internal/steerer/quota.go
@@ -17,6 +17,8 @@
 	maxQuotaWait = 400 * time.Millisecond
 	// quotaWaitDivisor divides the rest of a call's time into its longest wait for a token.
 	quotaWaitDivisor = 3
+	// queueTime is how long the calls that wait for tokens of empty slots should wait.
+	queueTime = 150 * time.Millisecond
 	// sendAllowance is how long after the end of its token's time an attempt may still be sent:
 	// opening a connection takes a while.
 	sendAllowance = time.Second
@@ -49,6 +51,8 @@
 	asked    bool
 	expected int
 	askedAt  time.Time
+	// urgent is the slot's part of the calls that waited when it was asked.
+	urgent int
 	// lent is the number of tokens in the last lot.
 	lent int
 	// emptyUntil is the time until which nothing is asked of the slot, shortUntil that until
@@ -159,9 +163,15 @@
 			s.dispatch(c)
 		}
 	}
-	if len(o.waiting) > 0 && !s.expectsTokens(o) {
-		s.refuseWaiting(o, func(*call) bool { return true })
+	if s.expectsTokens(o) {
+		return
 	}
+	// The others get those that will come soon by what came of late.
+	left := int(o.Supply(s.now) * queueTime.Seconds())
+	s.refuseWaiting(o, func(*call) bool {
+		left--
+		return left < 0
+	})
 }
 
 func (s *Steerer) stillWaits(c *call) bool {
--- a/internal/steerer/quota_ask.go
+++ b/internal/steerer/quota_ask.go
@@ -22,8 +22,8 @@
 	// patience is how long a query may take before another lender is asked for the same.
 	patience = 150 * time.Millisecond
 	// emptyPause is the shortest time between two queries to a slot that has too few tokens.
-	// For shortPause after its reply no call waits for it, and for scarcePause nothing is asked
-	// of it in advance.
+	// For shortPause after it had not even enough for those that waited no call waits for it,
+	// and for scarcePause nothing is asked of it in advance.
 	emptyPause  = 100 * time.Millisecond
 	shortPause  = 150 * time.Millisecond
 	scarcePause = 500 * time.Millisecond
@@ -111,6 +111,7 @@
 	name := s.lenderOf(slotKey{o.Name, slot})
 	if name == s.Self.Name {
 		if w, ok := s.slotWish(o, slot, sharers); ok {
+			o.ask(slot, w, sharers, s.now)
 			s.handleLot(o, w, s.lend(w), s.now)
 		}
 		return true
@@ -146,7 +147,7 @@
 			}
 			if w, ok := s.slotWish(o, slot, len(open)-i); ok {
 				wishes = append(wishes, w)
-				o.use[slot].ask(s.now, w)
+				o.ask(slot, w, len(open)-i, s.now)
 			}
 		}
 	}
@@ -159,9 +160,12 @@
 	s.emit(traffic.AskLender{Number: link.number, Address: address, Query: traffic.QuotaQuery{Wishes: wishes}})
 }
 
-// ask notes that a wish is sent. A slot that had too little a moment ago gives no more now.
-func (u *slotUse) ask(now time.Time, w traffic.QuotaWish) {
+// ask notes that a wish is sent to one of several slots that share the need. A slot that had
+// too little a moment ago gives no more now.
+func (o *organisation) ask(slot int, w traffic.QuotaWish, sharers int, now time.Time) {
+	u := &o.use[slot]
 	u.asked, u.askedAt = true, now
+	u.urgent = (len(o.waiting) + sharers - 1) / sharers
 	u.expected = max(w.Need, 1)
 	if now.Before(u.shortUntil) {
 		u.expected = min(u.expected, u.lent)
@@ -270,7 +274,9 @@
 		return
 	}
 	u.emptyUntil = askedAt.Add(emptyPause)
-	u.shortUntil = s.now.Add(shortPause)
+	if lot.Tokens < max(u.urgent, 1) {
+		u.shortUntil = s.now.Add(shortPause)
+	}
 	o.shortAt = s.now
 	o.reach = min(o.reach+1, o.slots)
 }
--- a/internal/steerer/quota_fleet_test.go
+++ b/internal/steerer/quota_fleet_test.go
@@ -59,6 +59,8 @@
 	// queries and wishes count the messages to lenders and what is asked for in them, and far
 	// the messages to other regions.
 	queries, wishes, far int
+	// waits are the times for which requests that were sent have waited for a token.
+	waits []time.Duration
 }
 
 type quotaRecord struct {
@@ -69,7 +71,8 @@
 // quotaCall is a request of some callers, which arrived in a second of the run.
 type quotaCall struct {
 	*quotaCallers
-	second int
+	second  int
+	arrived time.Time
 }
 
 // quotaCallers are the callers of one organisation.
@@ -97,8 +100,9 @@
 }
 
 // newQuotaFleet returns a fleet with callers that send perNode requests per second for each
-// instance. The organisations' rates are limit times what they usually send.
-func newQuotaFleet(seed uint64, nodes, organisations int, perNode, limit float64) *quotaFleet {
+// instance. The organisations' rates are limit times what they usually send, and their bursts
+// what that comes to in a time.
+func newQuotaFleet(seed uint64, nodes, organisations int, perNode, limit float64, burst time.Duration) *quotaFleet {
 	f := &quotaFleet{
 		now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 7)), records: make(map[string]*quotaRecord), version: 1,
 	}
@@ -113,7 +117,7 @@
 		usual := perNode * float64(nodes) * math.Pow(float64(i+1), -1.2) / sum
 		c := &quotaCallers{
 			Organisation: traffic.Organisation{
-				Name: fmt.Sprintf("org-%d", i), Keys: []string{strconv.Itoa(i)}, PerSecond: usual * limit, Burst: math.Ceil(usual * limit / 2),
+				Name: fmt.Sprintf("org-%d", i), Keys: []string{strconv.Itoa(i)}, PerSecond: usual * limit, Burst: math.Ceil(usual * limit * burst.Seconds()),
 			},
 			perSecond: usual, owed: make(map[int]int), served: make(map[int]int), arrived: make(map[int]int),
 		}
@@ -204,7 +208,7 @@
 		return
 	}
 	n.lastCall++
-	n.owners[n.lastCall] = quotaCall{c, second}
+	n.owners[n.lastCall] = quotaCall{c, second, f.now}
 	n.deliver(traffic.Arrived{Call: n.lastCall, Read: f.now, Request: traffic.Request{
 		ID: fmt.Sprintf("%s/%d", n.name, n.lastCall), Host: "shop.example", HostName: "shop.example", Path: "/x", Key: c.Keys[0], Limit: 2 * time.Second,
 	}})
--- a/internal/steerer/quota_node_test.go
+++ b/internal/steerer/quota_node_test.go
@@ -187,6 +187,7 @@
 		c.sent = append(c.sent, f.now)
 		n.later(100*time.Millisecond, traffic.Ended{Call: x.Call, Attempt: x.Attempt, Outcome: successOutcome()})
 		c.served[c.second]++
+		f.waits = append(f.waits, f.now.Sub(c.arrived))
 	case traffic.PublishFleetSize:
 		f.size = x.Instances
 	case traffic.Reannounce:
--- a/internal/steerer/quota_test.go
+++ b/internal/steerer/quota_test.go
@@ -257,7 +257,7 @@
 	b.handle(traffic.RecordKept{Revision: 3, Lasts: time.Hour})
 	b.handle(traffic.Ticked{})
 	assert.Assert(t, !lends())
-	b.advance(b.times().JoinDelay() + outageAllowance)
+	b.advance(b.takeoverDelay())
 	b.handle(traffic.Ticked{})
 	assert.Assert(t, lends())
 }
--- a/internal/steerer/quota_trouble_test.go
+++ b/internal/steerer/quota_trouble_test.go
@@ -180,7 +180,7 @@
 func TestQuotaInTrouble(t *testing.T) {
 	worst := -1e9
 	for seed := range *quotaSeeds {
-		f := newQuotaFleet(uint64(seed), 9, 3, 12, 1)
+		f := newQuotaFleet(uint64(seed), 9, 3, 12, 1, []time.Duration{shortBurst, longBurst}[seed%2])
 		f.settings.Bounds.QuotaExcess, f.settings.Bounds.QuotaSlack = 0, 0
 		for _, c := range f.callers {
 			c.perSecond *= 3
@@ -201,7 +201,7 @@
 // everywhere, and against an organisation that gets twice its burst as it goes and comes back.
 func TestChangesOfQuotas(t *testing.T) {
 	for seed := range uint64(10) {
-		f := newQuotaFleet(seed, 9, 6, 12, 1)
+		f := newQuotaFleet(seed, 9, 6, 12, 1, longBurst)
 		for _, c := range f.callers {
 			c.perSecond *= 3
 			f.placeCallers(c, len(f.nodes), len(f.nodes))
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -14,9 +14,10 @@
 // There is one file per topic: admission, eligibility, placement, cached objects,
 // the first byte of an attempt (starting.go), outcomes, retries, upstreams, regions, limits of
 // servers, quotas of organisations (quota.go; quota_ask.go asks lenders, lenders.go says who
-// lends), instances, log records, the effects of store outages and evacuations (belief.go), and
-// what a store that was restored from a copy brings back (restoration.go). A Steerer is not safe
-// for concurrent use, and the slice that Reduce returns is valid until the next call.
+// lends, lending.go lends), instances, log records, the effects of store outages and evacuations
+// (belief.go), and what a store that was restored from a copy brings back (restoration.go). A
+// Steerer is not safe for concurrent use, and the slice that Reduce returns is valid until the
+// next call.
 package steerer
 
 import (
