Let lenders lend from the start, and at once when their record returns in time

The record is kept before the first tick, so that a fleet that had never been counted was taken for one that others may lend to; and the first write of a record raced the first read, so that a process did not see the record of the one before it. A lender whose lease had lapsed in an outage of the store waited 14 s more, though nobody could have taken over. Ruled out: empty buckets, and lists of former lenders (there was one list only). Change: whether the fleet was counted is noted before the first decision about it; the record is written after the first read (or its timeout); a lender whose record returns before others may have taken over goes on.

--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -95,7 +95,7 @@
 		return err
 	}
 	l.startFollower(background)
-	go l.registrar.Run(background)
+	go l.register(background)
 	go l.publisher.Run(background)
 	l.Logger.Info("started", "caller_address", l.Settings.CallerAddress, "incarnation", l.registrar.Instance.Incarnation)
 	callerServer, err := l.listenWhenSynced(ctx, serveErrors)
@@ -176,6 +176,34 @@
 	}
 }
 
+// register keeps this instance's record in the store. The first read of the store goes before
+// the first write: whether the record of the process before this one is still there tells what
+// the others count on.
+func (l *Launcher) register(ctx context.Context) {
+	l.awaitInstances(ctx, l.times.ReadTimeout())
+	l.registrar.Run(ctx)
+}
+
+// awaitInstances waits until this instance knows the others, at most for a time.
+func (l *Launcher) awaitInstances(ctx context.Context, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ticker := time.NewTicker(tickInterval / 10)
+	defer ticker.Stop()
+	for {
+		known := false
+		l.carrier.View(func(s *steerer.Steerer) { known = s.KnowsInstances() })
+		if known {
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (l *Launcher) readers() (readers traffic.Readers) {
 	l.carrier.View(func(s *steerer.Steerer) { readers = s.Readers() })
 	return readers
--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -193,9 +193,11 @@
 	if m.ownRevision == 0 {
 		m.joinedAt = s.now.Add(s.times().JoinDelay())
 	}
+	// A lease that had ended counts before it is renewed.
 	s.checkLending()
 	m.ownRevision = max(m.ownRevision, e.Revision)
 	m.keptUntil = s.now.Add(e.Lasts)
+	s.checkLending()
 }
 
 // handleOwnRecordGone handles the absence of the own record as of a revision. Others may
--- a/internal/steerer/lenders.go
+++ b/internal/steerer/lenders.go
@@ -56,6 +56,8 @@
 	restored bool
 	// lendsFrom is when this instance may lend, or zero while that is not known.
 	lendsFrom time.Time
+	// lapsedAt is when the lease of the record last ended, while this instance might lend.
+	lapsedAt time.Time
 	// rebuiltFor is the number of the policy for which slots was built, and stale is set if
 	// it has to be built anew.
 	rebuiltFor uint64
@@ -103,11 +105,6 @@
 		return
 	}
 	l.refreshedAt = s.now
-	if l.candidates == nil {
-		l.candidates = make(map[string]lenderCandidate)
-		l.uncounted = s.instances.storedSize == 0
-		l.stale = true
-	}
 	s.noteInstances()
 	s.checkLending()
 	if len(s.organisations) == 0 {
@@ -125,9 +122,22 @@
 	}
 }
 
+// initializeLenders notes whether the fleet has ever been counted, the first time that it is
+// called: after the first read of the store.
+func (s *Steerer) initializeLenders() {
+	l := &s.lenders
+	if l.candidates != nil {
+		return
+	}
+	l.candidates = make(map[string]lenderCandidate)
+	l.uncounted = s.instancesListed && s.instances.storedSize == 0
+	l.stale = true
+}
+
 // noteInstances notes from when each instance may be chosen as a lender.
 func (s *Steerer) noteInstances() {
 	l := &s.lenders
+	s.initializeLenders()
 	first := len(l.candidates) == 0
 	if l.uncounted && s.instances.storedSize == 0 {
 		l.uncountedUntil = s.now.Add(s.times().JoinDelay())
@@ -156,19 +166,25 @@
 // wait until those have stopped.
 func (s *Steerer) checkLending() {
 	l, m := &s.lenders, &s.instances
+	s.initializeLenders()
 	remembered := s.now.Before(m.keptUntil.Add(outageAllowance))
 	switch {
 	case l.lendsFrom.IsZero() && m.ownRevision > 0 && remembered:
 		l.lendsFrom = s.lendingStart()
 	case !l.lendsFrom.IsZero() && !remembered:
 		l.lendsFrom, l.formerSeen, l.uncounted = time.Time{}, false, false
+		l.lapsedAt = m.keptUntil
 		l.slots, l.stale = nil, true
 	}
 }
 
 func (s *Steerer) lendingStart() time.Time {
+	// Others take over takeoverDelay after the record is gone at the earliest, and learn within
+	// JoinDelay that it is back.
+	lapsed := s.lenders.lapsedAt
+	returned := !lapsed.IsZero() && s.now.Before(lapsed.Add(s.takeoverDelay()-s.times().JoinDelay()))
 	switch {
-	case s.lenders.formerSeen && !s.lenders.restored:
+	case (s.lenders.formerSeen || returned) && !s.lenders.restored:
 		return s.now
 	case s.lenders.formerSeen || s.lenders.uncounted:
 		return s.now.Add(s.times().JoinDelay())
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -260,6 +260,12 @@
 	return s.policy != nil && s.upstreamsListed && s.instancesListed
 }
 
+// KnowsInstances reports whether the first read of the store has told which instances there
+// are.
+func (s *Steerer) KnowsInstances() bool {
+	return s.instancesListed
+}
+
 // Limits returns the current policy's limits on requests.
 func (s *Steerer) Limits() traffic.Limits {
 	if s.policy == nil {
