--- a/internal/steerer/instances.go
+++ b/internal/steerer/instances.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"maps"
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/traffic"
@@ -111,8 +112,13 @@
 
 func (s *Steerer) handleInstanceSeen(i traffic.Instance) {
 	if s.isFormerInstance(i) {
+		s.former.returned[i.Name] = i
 		return
 	}
+	delete(s.former.returned, i.Name)
+	if i.Name == s.Self.Name && i.Incarnation != s.Self.Incarnation && !s.instances.ownListed {
+		s.lenders.formerSeen = !i.Leaving
+	}
 	existing := s.instances.records[i.Name]
 	if existing != nil && existing.Incarnation == i.Incarnation && existing.Leaving && s.isRestored() {
 		i.Leaving = true
@@ -131,6 +137,7 @@
 }
 
 func (s *Steerer) handleInstanceGone(name string, revision int64) {
+	delete(s.former.returned, name)
 	existing := s.instances.records[name]
 	if existing == nil || existing.missing {
 		return
@@ -166,6 +173,7 @@
 
 func (s *Steerer) handleInstancesListed(e traffic.InstancesListed) {
 	s.instancesListed = true
+	maps.DeleteFunc(s.former.returned, func(name string, _ traffic.Instance) bool { return !e.Names[name] })
 	for name := range s.instances.records {
 		if !e.Names[name] {
 			s.handleInstanceGone(name, e.Revision)
@@ -185,8 +193,11 @@
 	if m.ownRevision == 0 {
 		m.joinedAt = s.now.Add(s.times().JoinDelay())
 	}
+	// A lease that had ended counts before it is renewed.
+	s.checkLending()
 	m.ownRevision = max(m.ownRevision, e.Revision)
 	m.keptUntil = s.now.Add(e.Lasts)
+	s.checkLending()
 }
 
 // handleOwnRecordGone handles the absence of the own record as of a revision. Others may
