Share room that is short fairly among organisations

Inside each rank organisations now share the room max-min fairly by expected work, and the ranks keep floors. internal/sharer measures what is asked for and what finds room, divides it by the water level, and gives credit; without credit a request gets a server only while its queue is short. Refused ones come back in turn.

--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -68,6 +68,7 @@
 			metrics.GetOrRegisterGauge("organisation_requests."+use.Name, l.registry).Update(use.Requests)
 			metrics.GetOrRegisterGauge("organisation_refused."+use.Name, l.registry).Update(use.Refused)
 		}
+		metrics.GetOrRegisterGauge("refused_beyond_share", l.registry).Update(int64(s.RefusedBeyondShare()))
 		instances, dividedBy := s.Division()
 		metrics.GetOrRegisterGauge("instances_known", l.registry).Update(int64(instances))
 		metrics.GetOrRegisterGauge("bounds_divided_by", l.registry).Update(int64(dividedBy))
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -57,6 +57,9 @@
 	// lastChoice is the result of place on which the last attempt or the refusal is
 	// based.
 	lastChoice choice
+	claim      roomClaim
+	// explained is set if nothing is to be counted or sent.
+	explained bool
 	// mayHaveRun is set once an attempt's fate is unknown.
 	mayHaveRun bool
 	// fallback is the newest complete error response. It is delivered if no other
@@ -183,6 +186,7 @@
 		return
 	}
 	choice := s.place(c)
+	s.settleRoom(c, choice)
 	if choice.server == nil {
 		c.lastChoice = choice
 		s.giveUp(c, choice.refusal, choice.retryAfter)
@@ -277,6 +281,7 @@
 	default:
 		if reason != traffic.Stopping && reason != traffic.NoRoute && reason != traffic.Unidentified {
 			remaining := c.deadline.Sub(s.now)
+			retryAfter = s.returnAfter(c, reason, retryAfter)
 			retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter, max(remaining/3, minRetryAfter))
 		}
 		s.refuse(c, reason, traffic.NotRun, retryAfter)
--- a/internal/steerer/explain.go
+++ b/internal/steerer/explain.go
@@ -7,7 +7,7 @@
 // handleExplanation explains where a request would go now. It takes nothing from any rate or
 // budget.
 func (s *Steerer) handleExplanation(r traffic.Request) {
-	c := &call{request: r, readAt: s.now}
+	c := &call{request: r, readAt: s.now, explained: true}
 	x := traffic.Explanation{Version: s.Version(), Refusal: s.admit(c)}
 	if c.route != nil {
 		x.Route, x.Rank, x.TimeoutMS = c.route.Name, c.rank(), traffic.Milliseconds(c.route.Timeout)
@@ -27,6 +27,7 @@
 
 func (s *Steerer) explainService(c *call, share traffic.Share) traffic.ServiceExplanation {
 	x := traffic.ServiceExplanation{Service: share.Service, Weight: share.Weight}
+	c.claim = roomClaim{}
 	chosen := s.place(c)
 	if chosen.server != nil {
 		x.Server = chosen.server.ID
--- a/internal/steerer/fleet_server_test.go
+++ b/internal/steerer/fleet_server_test.go
@@ -33,6 +33,7 @@
 	send     traffic.Send
 	call     *simCall
 	running  bool
+	started  time.Time
 	// ended is set once the instance has the outcome.
 	ended bool
 }
@@ -49,6 +50,7 @@
 		if s := f.servers[a.send.Upstream.ID]; a.running {
 			a.running = false
 			s.running--
+			f.wasted += f.now.Sub(a.started)
 			f.startQueued(s)
 		}
 	})
@@ -82,6 +84,7 @@
 	s.running++
 	s.executed++
 	a.running = true
+	a.started = f.now
 	work := float64(a.call.kind.work) * s.slowdown * (0.85 + 0.3*f.random.Float64())
 	if s.pace > 0 {
 		work *= s.pace
@@ -96,6 +99,7 @@
 		}
 		a.running = false
 		s.running--
+		f.worked += f.now.Sub(a.started)
 		s.cache(key)
 		load := s.load()
 		f.respond(a, traffic.Outcome{Fate: traffic.Ran, Reply: traffic.Reply{Status: 200, Signed: true, Load: load}})
--- a/internal/steerer/fleet_test.go
+++ b/internal/steerer/fleet_test.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"fmt"
@@ -31,6 +32,9 @@
 	// which they arrived.
 	windows map[int]*outcomeCounts
 	started time.Time
+	// perRegion is the number of instances in each region.
+	perRegion int
+	fleetCallers
 }
 
 type requestKind struct {
@@ -53,10 +57,11 @@
 }
 
 type simCall struct {
-	kind    *requestKind
-	arrived time.Time
-	object  string
-	retried bool
+	kind         *requestKind
+	organisation string
+	arrived      time.Time
+	object       string
+	retries      int
 }
 
 type scheduledEvent struct {
@@ -92,8 +97,15 @@
 // newFleet returns a fleet of three regions with three instances each. servers
 // is the number of servers in each region.
 func newFleet(t *testing.T, seed uint64, servers [3]int, kinds []requestKind) *fleet {
+	t.Helper()
+	return newSizedFleet(t, seed, 3, servers, kinds, fleetCallers{})
+}
+
+// newSizedFleet returns a fleet with a number of instances in each region.
+func newSizedFleet(t *testing.T, seed uint64, perRegion int, servers [3]int, kinds []requestKind, callers fleetCallers) *fleet {
 	t.Helper()
 	f := &fleet{
+		perRegion: perRegion, fleetCallers: callers,
 		t: t, now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
 		servers: make(map[string]*simServer), calls: make(map[string]*simCall),
 		sent: make(map[string]*simAttempt), kinds: kinds,
@@ -101,8 +113,8 @@
 	}
 	f.started = f.now
 	p := f.policy()
-	for i := range 9 {
-		region := []string{"a", "b", "c"}[i/3]
+	for i := range 3 * perRegion {
+		region := []string{"a", "b", "c"}[i/perRegion]
 		b := newTestBench(t, fmt.Sprintf("front-%d", i), region+"1")
 		f.instances = append(f.instances, b)
 	}
@@ -111,7 +123,7 @@
 	for r, count := range servers {
 		for i := range count {
 			u := server(fmt.Sprintf("s-%d-%d", r, i), []string{"a1", "b1", "c1"}[r])
-			u.Slots = 9
+			u.Slots = cmp.Or(f.slots, 9)
 			ids[u.ID] = true
 			records = append(records, u)
 			f.servers[u.ID] = &simServer{Upstream: u, region: u.Domain[:1], cacheSize: 40, slowdown: 1}
@@ -148,6 +160,10 @@
 			Shares: []traffic.Share{{Service: "stock", Weight: 1}},
 		})
 	}
+	p.Organisations = f.listed()
+	for i := range p.Organisations {
+		p.Organisations[i].Ranked, p.Organisations[i].Rank = f.oneRank, 1
+	}
 	return p
 }
 
@@ -190,6 +206,7 @@
 	if k.burst != nil {
 		rate *= k.burst(f.now.Sub(f.started))
 	}
+	rate *= f.demandOf(f.now.Sub(f.started))
 	interval := time.Duration(f.random.ExpFloat64() / rate * float64(time.Second))
 	f.schedule(interval, func() {
 		if f.now.Sub(f.started) > length {
@@ -201,10 +218,17 @@
 }
 
 func (f *fleet) arrive(region int, k *requestKind) {
-	b := f.instances[region*3+f.random.IntN(3)]
+	b := f.instances[region*f.perRegion+f.random.IntN(f.perRegion)]
 	c := &simCall{kind: k, arrived: f.now, object: fmt.Sprintf("%d-%d", region, f.random.IntN(k.objects))}
+	if o := f.drawOrganisation(f.now.Sub(f.started), f.random); o != nil {
+		c.organisation = o.name
+		if o.instances > 0 {
+			b = f.instances[region*f.perRegion+(o.first+f.random.IntN(o.instances))%f.perRegion]
+		}
+	}
 	f.countsOf(c).requests++
 	f.windowOf(c).requests++
+	f.observeArrival(c)
 	f.submit(b, c)
 }
 
@@ -215,6 +239,7 @@
 	number := b.lastCall
 	f.deliver(b, traffic.Arrived{Call: number, Read: f.now, Request: traffic.Request{
 		ID: id, Host: "shop.example", HostName: "shop.example", Path: c.kind.path, Object: c.object, Limit: c.kind.deadline,
+		Key: c.organisation,
 	}})
 }
 
@@ -271,14 +296,13 @@
 }
 
 // handleRefusal simulates a caller that gets a refusal: it retries once after
-// the Retry-After delay.
+// the Retry-After delay, or as the callers of the fleet do.
 func (f *fleet) handleRefusal(b *testBench, c *simCall, refusal traffic.Refuse) {
 	remaining := c.kind.deadline - f.now.Sub(c.arrived)
-	if refusal.Fate == traffic.NotRun && !c.retried && remaining > 0 {
-		c.retried = true
-		f.schedule(min(refusal.RetryAfter, remaining/3), func() {
-			f.submit(b, &simCall{kind: c.kind, arrived: c.arrived, object: c.object, retried: true})
-		})
+	if wait, again := f.waitOf(c, refusal, remaining); again {
+		next := *c
+		next.retries++
+		f.schedule(wait, func() { f.submit(b, &next) })
 		return
 	}
 	if refusal.Fate == traffic.NotRun {
@@ -290,6 +314,7 @@
 
 func (f *fleet) finish(c *simCall, ok bool) {
 	took := f.now.Sub(c.arrived)
+	f.observe(c, ok && took <= c.kind.target)
 	switch {
 	case !ok || took > c.kind.deadline:
 		f.countsOf(c).failed++
--- a/internal/steerer/placement.go
+++ b/internal/steerer/placement.go
@@ -43,6 +43,8 @@
 	estimate
 	// eligible is the number of servers that were compared.
 	eligible int
+	// beyondShare is set if the best server has room only for organisations within their share.
+	beyondShare bool
 	// obstacles counts the service's servers by the reason why each may not get the call, if
 	// none may.
 	obstacles map[string]int
@@ -200,7 +202,7 @@
 			best.estimate = e
 		}
 	}
-	return best
+	return s.withinShare(c, best, preferred)
 }
 
 // estimate returns a server's expected response time for a call. preferred is set
--- a/internal/steerer/record.go
+++ b/internal/steerer/record.go
@@ -64,6 +64,7 @@
 		attributes = append(attributes, attr("expected", c.lastChoice.expected), attr("at_hand", c.lastChoice.cached),
 			attr("server_load", math.Round(c.lastChoice.load*10)/10), attr("load_age", c.lastChoice.loadAge))
 	}
+	attributes = append(attributes, roomAttributes(c)...)
 	if len(c.lastChoice.obstacles) > 0 {
 		attributes = append(attributes, attr("obstacles", c.lastChoice.obstacles))
 	}
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -27,6 +27,7 @@
 	"github.com/yuccathread/yuccathread/internal/matcher"
 	"github.com/yuccathread/yuccathread/internal/measurer"
 	"github.com/yuccathread/yuccathread/internal/pacer"
+	"github.com/yuccathread/yuccathread/internal/sharer"
 	"github.com/yuccathread/yuccathread/internal/splitter"
 	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
@@ -54,6 +55,10 @@
 	// organisations holds those of the policy by name, and organisationsByKey by their keys.
 	organisations      map[string]*organisation
 	organisationsByKey map[string]*organisation
+	// rooms holds the division of the servers' room among organisations.
+	rooms map[roomKey]*sharer.Sharer
+	// refusedBeyondShare counts the calls refused by it.
+	refusedBeyondShare int
 	upstreams          map[string]*upstream
 	// formerPacers holds the pacers of removed servers, whose records may return.
 	formerPacers map[process]*pacer.Pacer
@@ -208,6 +213,7 @@
 	s.observeLateness(late)
 	s.removeMissingUpstreams()
 	s.removeIdlePacers()
+	s.removeIdleRooms()
 	s.expireNotices()
 	s.removeMissingInstances()
 	s.instances.expireDeparted(s.now)
