--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -81,6 +81,7 @@
 		metrics.GetOrRegisterGauge("quota.slots_lent", l.registry).Update(int64(quotas.Slots))
 		metrics.GetOrRegisterGauge("quota.queries", l.registry).Update(quotas.Queries)
 		metrics.GetOrRegisterGauge("quota.refusals", l.registry).Update(quotas.Refusals)
+		metrics.GetOrRegisterGauge("refused_beyond_share", l.registry).Update(int64(s.RefusedBeyondShare()))
 		instances, dividedBy := s.Division()
 		metrics.GetOrRegisterGauge("instances_known", l.registry).Update(int64(instances))
 		metrics.GetOrRegisterGauge("bounds_divided_by", l.registry).Update(int64(dividedBy))
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -61,6 +61,9 @@
 	// lastChoice is the result of place on which the last attempt or the refusal is
 	// based.
 	lastChoice choice
+	claim      roomClaim
+	// explained is set if nothing is to be counted or sent.
+	explained bool
 	// mayHaveRun is set once an attempt's fate is unknown.
 	mayHaveRun bool
 	// fallback is the newest complete error response. It is delivered if no other
@@ -192,6 +195,7 @@
 		return
 	}
 	choice := s.place(c)
+	s.settleRoom(c, choice)
 	if choice.server == nil {
 		c.lastChoice = choice
 		s.giveUp(c, choice.refusal, choice.retryAfter)
@@ -285,6 +289,7 @@
 		s.refuse(c, reason, traffic.Unknown, 0)
 	default:
 		if reason != traffic.Stopping && reason != traffic.NoRoute && reason != traffic.Unidentified {
+			retryAfter = s.returnAfter(c, reason, retryAfter)
 			retryAfter = min(max(retryAfter, minRetryAfter), maxRetryAfter, s.latestReturn(c, reason))
 		}
 		s.refuse(c, reason, traffic.NotRun, retryAfter)
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -29,6 +29,7 @@
 	"github.com/yuccathread/yuccathread/internal/matcher"
 	"github.com/yuccathread/yuccathread/internal/measurer"
 	"github.com/yuccathread/yuccathread/internal/pacer"
+	"github.com/yuccathread/yuccathread/internal/sharer"
 	"github.com/yuccathread/yuccathread/internal/splitter"
 	"github.com/yuccathread/yuccathread/internal/timekeeper"
 	"github.com/yuccathread/yuccathread/internal/traffic"
@@ -65,7 +66,11 @@
 	// want of a token.
 	lastQuery     uint64
 	quotaRefusals int64
-	upstreams     map[string]*upstream
+	// rooms holds the division of the servers' room among organisations.
+	rooms map[roomKey]*sharer.Sharer
+	// refusedBeyondShare counts the calls refused by it.
+	refusedBeyondShare int
+	upstreams          map[string]*upstream
 	// formerPacers holds the pacers of removed servers, whose records may return.
 	formerPacers map[process]*pacer.Pacer
 	// notices holds what servers' processes have said of themselves, of those that have
@@ -236,6 +241,7 @@
 	s.observeLateness(late)
 	s.removeMissingUpstreams()
 	s.removeIdlePacers()
+	s.removeIdleRooms()
 	s.expireNotices()
 	s.removeMissingInstances()
 	s.instances.expireDeparted(s.now)
