--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/yuccathread/yuccathread/internal/predictor"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -73,6 +74,8 @@
 type attempt struct {
 	number int
 	server *upstream
+	// times is how long such work takes.
+	times  *predictor.Predictor
 	sentAt time.Time
 	estimate
 }
@@ -195,9 +198,10 @@
 func (s *Steerer) sendAttempt(c *call, choice choice) {
 	u := choice.server
 	c.attempts++
-	c.pending = append(c.pending, &attempt{
-		number: c.attempts, server: u, sentAt: s.now, estimate: choice.estimate,
-	})
+	a := &attempt{
+		number: c.attempts, server: u, times: c.route.workTimes.of(choice.cached), sentAt: s.now, estimate: choice.estimate,
+	}
+	c.pending = append(c.pending, a)
 	c.lastChoice = choice
 	c.tried[u.ID] = true
 	c.triedServers = append(c.triedServers, u.ID)
@@ -207,6 +211,7 @@
 		s.recordColdSend(c, u)
 	}
 	u.inFlight++
+	u.running = append(u.running, a)
 	u.objects.add(objectKey(c), s.now)
 	s.emit(traffic.Send{
 		Call:         c.number,
@@ -218,7 +223,7 @@
 		Organisation: c.organisationName(),
 		Idempotent:   c.idempotent,
 	})
-	s.emit(traffic.StartOverdueTimer{Call: c.number, Attempt: c.attempts, After: overdueAfter(choice.expected)})
+	s.emit(traffic.StartOverdueTimer{Call: c.number, Attempt: c.attempts, After: s.reviewAfter(c, a, choice.alternative)})
 }
 
 // spareCount returns the number of spare idle connections to hold open to a server.
--- a/internal/steerer/fleet_server_test.go
+++ b/internal/steerer/fleet_server_test.go
@@ -32,7 +32,10 @@
 	instance *testBench
 	send     traffic.Send
 	call     *simCall
+	sentAt   time.Time
 	running  bool
+	// startedAt is when the server began to work on it.
+	startedAt time.Time
 	// ended is set once the instance has the outcome.
 	ended bool
 }
@@ -48,6 +51,8 @@
 	f.schedule(f.delay(a.instance, a.send.Upstream.ID), func() {
 		if s := f.servers[a.send.Upstream.ID]; a.running {
 			a.running = false
+			f.worked += f.now.Sub(a.startedAt)
+			f.wasted += f.now.Sub(a.startedAt)
 			s.running--
 			f.startQueued(s)
 		}
@@ -82,6 +87,7 @@
 	s.running++
 	s.executed++
 	a.running = true
+	a.startedAt = f.now
 	work := float64(a.call.kind.work) * s.slowdown * (0.85 + 0.3*f.random.Float64())
 	if s.pace > 0 {
 		work *= s.pace
@@ -90,11 +96,15 @@
 	if slices.Contains(s.cached, key) {
 		work *= simCachedFraction
 	}
+	if a.call.kind.tailShare > 0 && f.random.Float64() < a.call.kind.tailShare {
+		work *= a.call.kind.tailFactor
+	}
 	f.schedule(time.Duration(work), func() {
 		if !a.running {
 			return
 		}
 		a.running = false
+		f.worked += f.now.Sub(a.startedAt)
 		s.running--
 		s.cache(key)
 		load := s.load()
@@ -136,7 +146,7 @@
 		}
 		a.ended = true
 		o.Connected = 2 * delay
-		o.Took = o.Connected + f.now.Sub(a.send.Deadline.Add(-a.call.kind.deadline*2/3))
+		o.Took = o.Connected + f.now.Sub(a.sentAt)
 		f.deliver(a.instance, traffic.Ended{Call: a.send.Call, Attempt: a.send.Attempt, Outcome: o})
 	})
 }
--- a/internal/steerer/fleet_test.go
+++ b/internal/steerer/fleet_test.go
@@ -31,6 +31,17 @@
 	// which they arrived.
 	windows map[int]*outcomeCounts
 	started time.Time
+	// perRegion is the number of instances in each region.
+	perRegion int
+	// took holds the response times by the kind of request.
+	took map[string][]time.Duration
+	// worked is the time for which servers have worked, and wasted the part of it whose
+	// responses nobody got.
+	worked, wasted time.Duration
+	// ejections counts the ejections of servers.
+	ejections int
+	// second counts the attempts at further servers.
+	second int
 }
 
 type requestKind struct {
@@ -41,7 +52,9 @@
 	deadline      time.Duration
 	objects       int // In each region.
 	nonIdempotent bool
-	burst         func(at time.Duration) float64
+	// tailShare is the share of executions that take tailFactor times as long.
+	tailShare, tailFactor float64
+	burst                 func(at time.Duration) float64
 }
 
 type outcomeCounts struct {
@@ -92,17 +105,24 @@
 // newFleet returns a fleet of three regions with three instances each. servers
 // is the number of servers in each region.
 func newFleet(t *testing.T, seed uint64, servers [3]int, kinds []requestKind) *fleet {
+	t.Helper()
+	return newFleetOf(t, seed, 3, servers, kinds)
+}
+
+// newFleetOf returns a fleet of three regions with perRegion instances each.
+func newFleetOf(t *testing.T, seed uint64, perRegion int, servers [3]int, kinds []requestKind) *fleet {
 	t.Helper()
 	f := &fleet{
 		t: t, now: time.Unix(1_800_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
 		servers: make(map[string]*simServer), calls: make(map[string]*simCall),
 		sent: make(map[string]*simAttempt), kinds: kinds,
 		totals: make(map[string]*outcomeCounts), windows: make(map[int]*outcomeCounts),
+		perRegion: perRegion, took: make(map[string][]time.Duration),
 	}
 	f.started = f.now
 	p := f.policy()
-	for i := range 9 {
-		region := []string{"a", "b", "c"}[i/3]
+	for i := range 3 * perRegion {
+		region := []string{"a", "b", "c"}[i/perRegion]
 		b := newTestBench(t, fmt.Sprintf("front-%d", i), region+"1")
 		f.instances = append(f.instances, b)
 	}
@@ -201,7 +221,7 @@
 }
 
 func (f *fleet) arrive(region int, k *requestKind) {
-	b := f.instances[region*3+f.random.IntN(3)]
+	b := f.instances[region*f.perRegion+f.random.IntN(f.perRegion)]
 	c := &simCall{kind: k, arrived: f.now, object: fmt.Sprintf("%d-%d", region, f.random.IntN(k.objects))}
 	f.countsOf(c).requests++
 	f.windowOf(c).requests++
@@ -249,13 +269,20 @@
 	case traffic.StartOverdueTimer:
 		f.schedule(x.After, func() { f.deliver(b, traffic.Overdue{Call: x.Call, Attempt: x.Attempt}) })
 	case traffic.Send:
-		a := &simAttempt{instance: b, send: x, call: f.calls[id(x.Call)]}
+		a := &simAttempt{instance: b, send: x, call: f.calls[id(x.Call)], sentAt: f.now}
+		if x.Attempt > 1 {
+			f.second++
+		}
 		f.sent[fmt.Sprintf("%s/%d", id(x.Call), x.Attempt)] = a
 		f.schedule(f.delay(b, x.Upstream.ID), func() { f.receive(a) })
 		f.schedule(x.Deadline.Sub(f.now), func() { f.abort(a, context.DeadlineExceeded) })
 	case traffic.Cancel:
 		a := f.sent[fmt.Sprintf("%s/%d", id(x.Call), x.Attempt)]
 		f.schedule(0, func() { f.abort(a, context.Canceled) })
+	case traffic.Record:
+		if x.Message == "server ejected" {
+			f.ejections++
+		}
 	case traffic.Deliver:
 		f.finish(f.calls[id(x.Call)], x.Reply.Status < 300)
 	case traffic.Refuse:
@@ -290,6 +317,7 @@
 
 func (f *fleet) finish(c *simCall, ok bool) {
 	took := f.now.Sub(c.arrived)
+	f.took[c.kind.path] = append(f.took[c.kind.path], took)
 	switch {
 	case !ok || took > c.kind.deadline:
 		f.countsOf(c).failed++
--- a/internal/steerer/load_test.go
+++ b/internal/steerer/load_test.go
@@ -127,10 +127,14 @@
 
 // disturb makes a server's work take longer for a moment, again and again.
 func (f *fleet) disturb(s *simServer) {
-	const disturbed, between = 600 * time.Millisecond, 2 * time.Second
+	f.disturbBy(s, 5, 600*time.Millisecond, 2*time.Second)
+}
+
+// disturbBy makes a server's work take longer by a factor for a time, again and again.
+func (f *fleet) disturbBy(s *simServer, factor float64, disturbed, between time.Duration) {
 	s.pace = 1
 	f.schedule(time.Duration(f.random.ExpFloat64()*float64(between)), func() {
-		s.pace = 5
-		f.schedule(disturbed, func() { f.disturb(s) })
+		s.pace = factor
+		f.schedule(disturbed, func() { f.disturbBy(s, factor, disturbed, between) })
 	})
 }
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
-	"time"
+	"slices"
 
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
@@ -19,6 +19,7 @@
 		return
 	}
 	a.server.inFlight--
+	a.server.running = slices.DeleteFunc(a.server.running, func(other *attempt) bool { return other == a })
 	s.observeOutcome(c, a, e.Outcome)
 	if c.answered {
 		s.removeIfDone(c)
@@ -83,13 +84,18 @@
 	case o.Fate == traffic.Ran && o.Reply.Status < http.StatusInternalServerError:
 		u.ejector.Succeed()
 		s.updateFailureRate(u, false)
-		s.updateWorkTimes(c, a, o)
+		s.learnCuts(u)
+		s.learnWork(c, a, o)
 	case o.Reply.Misdirected:
 		u.misdirected = true
 		s.recordStateChange("server has handed on its address", attr("server", u.ID), attr("address", u.Address))
 	case errors.Is(o.Err, context.DeadlineExceeded) && s.now.Sub(a.sentAt) < a.expected:
 		// The attempt was given less time than a response is expected to take. That is
 		// not the server's failure.
+	case errors.Is(o.Err, context.DeadlineExceeded):
+		s.observeCut(c, a, 1)
+	case o.Reply.Status == http.StatusGatewayTimeout && s.isStopped(c, a):
+		s.observeStopped(c, a)
 	case o.Unreachable:
 		s.countFailure(u, ejectFailures, errorText(o.Err))
 	case o.Fate == traffic.Unknown:
@@ -101,6 +107,11 @@
 	}
 }
 
+// isStopped reports whether a server has had the whole time that a call had left.
+func (s *Steerer) isStopped(c *call, a *attempt) bool {
+	return !s.now.Before(c.deadline.Add(-s.roundTrip(a.server).Value() - responseMargin))
+}
+
 // countFailure counts a server's failure. weight is the number of failures that it
 // counts as.
 func (s *Steerer) countFailure(u *upstream, weight int, reason string) {
@@ -114,22 +125,6 @@
 	}
 }
 
-// updateWorkTimes updates the route's work times and the server's slowdown, unless
-// the server had a queue or an unusual pace: the time then says little about either.
-func (s *Steerer) updateWorkTimes(c *call, a *attempt, o traffic.Outcome) {
-	u := a.server
-	took := max(o.Took-o.Connected-s.roundTrip(u).Value(), time.Millisecond)
-	if load := o.Reply.Load; load.Waiting > 0 || load.Pace > 0 && load.Pace != 1 {
-		return
-	}
-	if !s.isCold(u) {
-		c.route.workTimes.observe(a.cached, time.Duration(float64(took)/s.slowdownOf(u)))
-	}
-	if expected := c.route.workTimes.mean(a.cached); expected > 0 {
-		s.updateSlowdown(u, float64(took)/float64(expected))
-	}
-}
-
 // handleRan delivers a complete response. An idempotent request that failed
 // with a server error is retried at another server if possible. An unsigned
 // success is not delivered: without proof that the server produced it, the fate of
@@ -194,7 +189,7 @@
 	}
 	for _, a := range c.pending {
 		if s.now.Sub(a.sentAt) >= a.expected {
-			s.countFailure(a.server, silenceWeight(a), "no response before the request's deadline")
+			s.observeCut(c, a, silenceWeight(a))
 		}
 	}
 	c.expired = true
--- a/internal/steerer/placement.go
+++ b/internal/steerer/placement.go
@@ -41,6 +41,9 @@
 	// estimate is that of the chosen server, or of the fastest one if all are
 	// overloaded.
 	estimate
+	// alternative is the expected response time of the next best server, or zero if there is
+	// none.
+	alternative time.Duration
 	// eligible is the number of servers that were compared.
 	eligible int
 	// obstacles counts the service's servers by the reason why each may not get the call, if
@@ -52,12 +55,17 @@
 // on.
 type estimate struct {
 	expected time.Duration
+	// wait is the part of it that passes before the server begins to work, and work the part
+	// for which it works.
+	wait, work time.Duration
 	// cached is set if the server is expected to have the object in its cache.
 	cached bool
 	// load is the estimated number of requests at the server, and loadAge the age
 	// of the report that it is based on.
 	load    float64
 	loadAge time.Duration
+	// remaining is the work that the server has to do still.
+	remaining time.Duration
 }
 
 // candidate is a server that may get a call.
@@ -195,9 +203,15 @@
 		}
 		cost := e.expected + time.Duration(s.failureRateOf(u)*failurePenalty*float64(c.route.Target))
 		if cost < bestCost {
+			best.alternative = 0
+			if best.server != nil {
+				best.alternative = best.expected
+			}
 			bestCost = cost
 			best.server = u
 			best.estimate = e
+		} else if best.alternative == 0 || e.expected < best.alternative {
+			best.alternative = e.expected
 		}
 	}
 	return best
@@ -207,11 +221,14 @@
 // for the object's preferred server.
 func (s *Steerer) estimate(c *call, u *upstream, preferred bool) estimate {
 	object := objectKey(c)
-	e := estimate{load: s.loadOf(u), cached: object != "" && (preferred || u.objects.contains(object, s.now))}
+	b := s.backlogOf(u)
+	e := estimate{load: b.requests, remaining: b.work, cached: object != "" && (preferred || u.objects.contains(object, s.now))}
 	if u.load.Known {
 		e.loadAge = s.now.Sub(u.loadAt)
 	}
-	e.expected = s.expectedTime(c, u, e.load, e.cached)
+	e.wait = s.waitAt(c, u, b)
+	e.work = s.workAt(c, u, e.cached)
+	e.expected = e.wait + e.work + s.roundTrip(u).Value()
 	return e
 }
 
@@ -219,18 +236,13 @@
 	return queueFractions[min(rank, len(queueFractions)-1)]
 }
 
-// expectedTime returns the time from sending a call to a server until its response
-// arrives: waiting, work and the round trip.
-func (s *Steerer) expectedTime(c *call, u *upstream, load float64, cached bool) time.Duration {
-	slowdown := s.slowdownOf(u) * s.paceOf(u)
-	work := float64(c.route.workTimes.mean(cached)) * slowdown
+// workAt returns how long a server is expected to work on a call.
+func (s *Steerer) workAt(c *call, u *upstream, cached bool) time.Duration {
+	work := float64(c.route.workTimes.mean(cached)) * s.slownessOf(u)
 	if s.isCold(u) {
 		work *= coldSlowdown
 	}
-	if waiting := load - float64(u.Slots) + 1; waiting > 0 {
-		work += waiting / float64(u.Slots) * float64(c.route.workTimes.mean(true)) * slowdown
-	}
-	return time.Duration(min(work, float64(maxExpected))) + s.roundTrip(u).Value()
+	return time.Duration(min(work, float64(maxExpected)))
 }
 
 // roundTrip returns the measured round-trip time to a server's failure domain.
--- a/internal/steerer/record.go
+++ b/internal/steerer/record.go
@@ -62,7 +62,8 @@
 		attr("eligible", c.lastChoice.eligible))
 	if c.lastChoice.eligible > 0 {
 		attributes = append(attributes, attr("expected", c.lastChoice.expected), attr("at_hand", c.lastChoice.cached),
-			attr("server_load", math.Round(c.lastChoice.load*10)/10), attr("load_age", c.lastChoice.loadAge))
+			attr("server_load", math.Round(c.lastChoice.load*10)/10), attr("load_age", c.lastChoice.loadAge),
+			attr("work", c.lastChoice.work), attr("server_work", c.lastChoice.remaining))
 	}
 	if len(c.lastChoice.obstacles) > 0 {
 		attributes = append(attributes, attr("obstacles", c.lastChoice.obstacles))
@@ -121,6 +122,7 @@
 		Message:  "second attempt",
 		Frequent: true,
 		Attributes: append(s.callAttributes(c), attr("overdue", a.server.ID),
-			attr("waited", s.now.Sub(a.sentAt)), attr("server", choice.server.ID)),
+			attr("waited", s.now.Sub(a.sentAt)), attr("server", choice.server.ID), attr("fresh", choice.expected),
+			attr("remaining", s.prospectOf(c, a, choice).remaining)),
 	})
 }
--- a/internal/steerer/retry.go
+++ b/internal/steerer/retry.go
@@ -1,8 +1,6 @@
 package steerer
 
 import (
-	"time"
-
 	"github.com/yuccathread/yuccathread/internal/budgeter"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
@@ -20,10 +18,6 @@
 	// A retry is worth its cost only if the remaining time is at least the mean work
 	// time of cached objects divided by minTimeDivisor.
 	minTimeDivisor = 2
-	// An attempt is overdue after overdueFactor times its expected time, but no sooner
-	// than minOverdueMargin after its expected time.
-	overdueFactor    = 3
-	minOverdueMargin = 250 * time.Millisecond
 )
 
 // retry sends a call to another server after a failed attempt, or gives it up. It
@@ -39,37 +33,6 @@
 	s.giveUp(c, reason, defaultRetryAfter)
 }
 
-func overdueAfter(expected time.Duration) time.Duration {
-	return max(overdueFactor*expected, expected+minOverdueMargin)
-}
-
-// handleOverdue raises the slowdown of a server that has not responded in the
-// expected time. An idempotent request is hedged: it is also sent to a second
-// server if allowRetry permits, and the first success is delivered.
-func (s *Steerer) handleOverdue(e traffic.Overdue) {
-	c := s.calls[e.Call]
-	if c == nil || c.answered || c.expired {
-		return
-	}
-	a := c.pendingAttempt(e.Attempt)
-	if a == nil {
-		return
-	}
-	waited := s.now.Sub(a.sentAt)
-	if ratio := float64(waited) / float64(max(a.expected, time.Millisecond)); ratio > s.slowdownOf(a.server) {
-		s.updateSlowdown(a.server, ratio)
-	}
-	if !c.idempotent || len(c.pending) > 1 {
-		return
-	}
-	choice := s.place(c)
-	if choice.server == nil || !s.allowRetry(c, true) {
-		return
-	}
-	s.recordHedge(c, a, choice)
-	s.sendAttempt(c, choice)
-}
-
 // allowRetry reports whether a call may be sent to another server. If the last
 // attempt reached its server, it also withdraws the retry from the budget.
 func (s *Steerer) allowRetry(c *call, received bool) bool {
--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -9,6 +9,7 @@
 	"github.com/yuccathread/yuccathread/internal/ejector"
 	"github.com/yuccathread/yuccathread/internal/pacer"
 	"github.com/yuccathread/yuccathread/internal/placer"
+	"github.com/yuccathread/yuccathread/internal/predictor"
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
 
@@ -40,6 +41,8 @@
 type service struct {
 	placer  placer.Placer
 	servers []*upstream
+	// work is how long the service's requests take at a server with free slots.
+	work predictor.Predictor
 	// budget bounds the retries of the service's calls.
 	budget budgeter.Budgeter
 	// shares is the share of this region's callers' objects that each region serves,
@@ -57,8 +60,10 @@
 	region string
 
 	inFlight int
-	load     traffic.Load
-	loadAt   time.Time
+	// running are this instance's attempts at the server.
+	running []*attempt
+	load    traffic.Load
+	loadAt  time.Time
 	// ownLoad is this instance's part of the reported load.
 	ownLoad int
 
@@ -79,6 +84,9 @@
 	slowdown   float64
 	slowdownAt time.Time
 
+	// cuts are the attempts that were cut off since the last success.
+	cuts []cutWork
+
 	// respondedAt is when this instance last got a response from the server.
 	respondedAt time.Time
 
@@ -244,18 +252,6 @@
 	return s.now.Before(u.coldUntil) || s.now.Before(s.coldDomains[u.Domain])
 }
 
-// loadOf estimates the number of requests at a server: this instance's own, and
-// those of other instances as last reported, with a weight that decays with the
-// report's age.
-func (s *Steerer) loadOf(u *upstream) float64 {
-	if !u.load.Known {
-		return float64(u.inFlight)
-	}
-	others := max(0, float64(u.load.Running)+float64(u.load.Waiting)-float64(u.ownLoad))
-	age := s.now.Sub(u.loadAt)
-	return float64(u.inFlight) + others*math.Exp(-float64(age)/float64(loadDecay))
-}
-
 // failureRateOf returns the share of a server's outcomes that failed. It decays
 // with time.
 func (s *Steerer) failureRateOf(u *upstream) float64 {
@@ -291,12 +287,6 @@
 	u.failureRateAt = s.now
 }
 
-func (s *Steerer) updateSlowdown(u *upstream, ratio float64) {
-	ratio = min(max(ratio, 1.0/maxSlowdown), maxSlowdown)
-	u.slowdown = s.slowdownOf(u)*(1-slowdownGain) + ratio*slowdownGain
-	u.slowdownAt = s.now
-}
-
 func (s *Steerer) updateLoad(u *upstream, load traffic.Load) {
 	if !load.Known {
 		return
