--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -77,6 +77,8 @@
 	// times is how long such work takes.
 	times  *predictor.Predictor
 	sentAt time.Time
+	// pace is the server's pace as known when the attempt was sent.
+	pace float64
 	estimate
 }
 
@@ -199,7 +201,8 @@
 	u := choice.server
 	c.attempts++
 	a := &attempt{
-		number: c.attempts, server: u, times: c.route.workTimes.of(choice.cached), sentAt: s.now, estimate: choice.estimate,
+		number: c.attempts, server: u, times: c.route.workTimes.of(choice.cached), sentAt: s.now, pace: s.paceOf(u),
+		estimate: choice.estimate,
 	}
 	c.pending = append(c.pending, a)
 	c.lastChoice = choice
--- a/internal/steerer/hedge.go
+++ b/internal/steerer/hedge.go
@@ -91,8 +91,9 @@
 	}
 	waited := s.now.Sub(a.sentAt)
 	overdue := waited >= overdueAfter(a.expected)
-	if ratio := float64(waited) / float64(max(a.expected, time.Millisecond)); overdue && ratio > s.slowdownOf(a.server) {
-		s.learnSlowdown(c, a, time.Duration(ratio*float64(c.route.workTimes.mean(a.cached))))
+	ratio := float64(waited) / float64(max(a.expected, time.Millisecond)) * min(1, a.pace/s.paceOf(a.server))
+	if overdue && ratio > s.slowdownOf(a.server) {
+		s.learnSlowdown(a, time.Duration(ratio*float64(c.route.workTimes.mean(a.cached))))
 	}
 	// The longer an attempt is overdue, the more it says of its server.
 	next := max(a.expected, time.Millisecond)
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -93,9 +93,9 @@
 		// The attempt was given less time than a response is expected to take. That is
 		// not the server's failure.
 	case errors.Is(o.Err, context.DeadlineExceeded):
-		s.observeCut(c, a, 1)
+		s.observeCut(a, 1)
 	case o.Reply.Status == http.StatusGatewayTimeout && s.isStopped(c, a):
-		s.observeStopped(c, a)
+		s.observeStopped(a)
 	case o.Unreachable:
 		s.countFailure(u, ejectFailures, errorText(o.Err))
 	case o.Fate == traffic.Unknown:
@@ -189,7 +189,7 @@
 	}
 	for _, a := range c.pending {
 		if s.now.Sub(a.sentAt) >= a.expected {
-			s.observeCut(c, a, silenceWeight(a))
+			s.observeCut(a, silenceWeight(a))
 		}
 	}
 	c.expired = true
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -11,8 +11,9 @@
 //	s := &steerer.Steerer{Self: self, Settings: settings}
 //	effects := s.Reduce(now, traffic.Arrived{Call: 1, Request: request, Read: now})
 //
-// There is one file per topic: admission, eligibility, placement, cached objects,
-// the first byte of an attempt (starting.go), outcomes, retries, upstreams, regions, limits of
+// There is one file per topic: admission, eligibility, placement, cached objects, what work is
+// learned to take (work.go), what servers have to do still (backlog.go), the first byte of an
+// attempt (starting.go), outcomes, retries, second attempts (hedge.go), upstreams, regions, limits of
 // servers, instances, log records, the effects of store outages and evacuations (belief.go),
 // and what a store that was restored from a copy brings back (restoration.go). A Steerer is
 // not safe for concurrent use, and the slice that Reduce returns is valid until the next call.
--- a/internal/steerer/work.go
+++ b/internal/steerer/work.go
@@ -81,7 +81,7 @@
 		return
 	}
 	slowdown := s.slowdownOf(u)
-	s.learnSlowdown(c, a, took)
+	s.learnSlowdown(a, took)
 	if !s.isCold(u) {
 		work := time.Duration(float64(took) / slowdown)
 		c.route.workTimes.observe(a.cached, work)
@@ -92,7 +92,7 @@
 // learnSlowdown updates a server's slowdown with the time that an attempt's work has taken so
 // far. The less usual such a time is on the route, the more it says of the server: where some
 // requests take long by themselves, a long one is hardly a sign of a slow server.
-func (s *Steerer) learnSlowdown(c *call, a *attempt, took time.Duration) {
+func (s *Steerer) learnSlowdown(a *attempt, took time.Duration) {
 	times := a.times
 	usual := times.Median()
 	if usual <= 0 {
@@ -135,7 +135,7 @@
 // observeCut learns from an attempt without a response before the request's deadline: either
 // its work takes long, or its server is in trouble. weight is the number of failures that it
 // counts as if the work is not known to take so long.
-func (s *Steerer) observeCut(c *call, a *attempt, weight int) {
+func (s *Steerer) observeCut(a *attempt, weight int) {
 	u, times, ran := a.server, a.times, s.ranFor(a)
 	if times.Exceeding(ran) > troubleOdds {
 		weight--
@@ -150,7 +150,7 @@
 
 // observeStopped learns from an attempt whose server says that it has worked on it up to the
 // request's deadline.
-func (s *Steerer) observeStopped(c *call, a *attempt) {
+func (s *Steerer) observeStopped(a *attempt) {
 	times, ran := a.times, s.ranFor(a)
 	if times.Exceeding(ran) <= troubleOdds {
 		s.updateFailureRate(a.server, true)
