--- a/internal/predictor/predictor.go
+++ b/internal/predictor/predictor.go
@@ -44,9 +44,10 @@
 type Predictor struct {
 	Initial time.Duration
 
-	weights [bucketCount]float64
-	// sums holds the weighted durations of each bucket.
-	sums    [bucketCount]float64
+	// weights and sums hold the weight and the weighted durations of each bucket. They are
+	// there from the first sample on, since most routes of a large configuration get none.
+	weights []float64
+	sums    []float64
 	weight  float64
 	sum     float64
 	next    float64
@@ -94,6 +95,7 @@
 func (p *Predictor) nextWeight() float64 {
 	if p.next == 0 {
 		p.next = 1
+		p.weights, p.sums = make([]float64, bucketCount), make([]float64, bucketCount)
 	}
 	p.next *= growth
 	if p.next > maxWeight {
