--- a/internal/steerer/fleet_callers_test.go
+++ b/internal/steerer/fleet_callers_test.go
@@ -21,8 +21,6 @@
 	// earlyRefusals is the number of refusals by share in the first seconds, which are those
 	// of servers without objects in their caches.
 	earlyRefusals int
-	// worked and wasted are the times that servers worked, and worked for nobody.
-	worked, wasted time.Duration
 	// oneRank gives all organisations the same rank.
 	oneRank bool
 	// got counts requests, and those answered in time, by group, organisation and second of
--- a/internal/steerer/fleet_test.go
+++ b/internal/steerer/fleet_test.go
@@ -35,6 +35,15 @@
 	// perRegion is the number of instances in each region.
 	perRegion int
 	fleetCallers
+	// took holds the response times by the kind of request.
+	took map[string][]time.Duration
+	// worked is the time for which servers have worked, and wasted the part of it whose
+	// responses nobody got.
+	worked, wasted time.Duration
+	// ejections counts the ejections of servers.
+	ejections int
+	// second counts the attempts at further servers.
+	second int
 }
 
 type requestKind struct {
@@ -45,7 +54,9 @@
 	deadline      time.Duration
 	objects       int // In each region.
 	nonIdempotent bool
-	burst         func(at time.Duration) float64
+	// tailShare is the share of executions that take tailFactor times as long.
+	tailShare, tailFactor float64
+	burst                 func(at time.Duration) float64
 }
 
 type outcomeCounts struct {
@@ -98,10 +109,16 @@
 // is the number of servers in each region.
 func newFleet(t *testing.T, seed uint64, servers [3]int, kinds []requestKind) *fleet {
 	t.Helper()
-	return newSizedFleet(t, seed, 3, servers, kinds, fleetCallers{})
+	return newFleetOf(t, seed, 3, servers, kinds)
 }
 
-// newSizedFleet returns a fleet with a number of instances in each region.
+// newFleetOf returns a fleet of three regions with perRegion instances each.
+func newFleetOf(t *testing.T, seed uint64, perRegion int, servers [3]int, kinds []requestKind) *fleet {
+	t.Helper()
+	return newSizedFleet(t, seed, perRegion, servers, kinds, fleetCallers{})
+}
+
+// newSizedFleet returns such a fleet whose callers belong to organisations.
 func newSizedFleet(t *testing.T, seed uint64, perRegion int, servers [3]int, kinds []requestKind, callers fleetCallers) *fleet {
 	t.Helper()
 	f := &fleet{
@@ -110,6 +127,7 @@
 		servers: make(map[string]*simServer), calls: make(map[string]*simCall),
 		sent: make(map[string]*simAttempt), kinds: kinds,
 		totals: make(map[string]*outcomeCounts), windows: make(map[int]*outcomeCounts),
+		took: make(map[string][]time.Duration),
 	}
 	f.started = f.now
 	p := f.policy()
@@ -274,13 +292,20 @@
 	case traffic.StartOverdueTimer:
 		f.schedule(x.After, func() { f.deliver(b, traffic.Overdue{Call: x.Call, Attempt: x.Attempt}) })
 	case traffic.Send:
-		a := &simAttempt{instance: b, send: x, call: f.calls[id(x.Call)]}
+		a := &simAttempt{instance: b, send: x, call: f.calls[id(x.Call)], sentAt: f.now}
+		if x.Attempt > 1 {
+			f.second++
+		}
 		f.sent[fmt.Sprintf("%s/%d", id(x.Call), x.Attempt)] = a
 		f.schedule(f.delay(b, x.Upstream.ID), func() { f.receive(a) })
 		f.schedule(x.Deadline.Sub(f.now), func() { f.abort(a, context.DeadlineExceeded) })
 	case traffic.Cancel:
 		a := f.sent[fmt.Sprintf("%s/%d", id(x.Call), x.Attempt)]
 		f.schedule(0, func() { f.abort(a, context.Canceled) })
+	case traffic.Record:
+		if x.Message == "server ejected" {
+			f.ejections++
+		}
 	case traffic.Deliver:
 		f.finish(f.calls[id(x.Call)], x.Reply.Status < 300)
 	case traffic.Refuse:
@@ -315,6 +340,7 @@
 func (f *fleet) finish(c *simCall, ok bool) {
 	took := f.now.Sub(c.arrived)
 	f.observe(c, ok && took <= c.kind.target)
+	f.took[c.kind.path] = append(f.took[c.kind.path], took)
 	switch {
 	case !ok || took > c.kind.deadline:
 		f.countsOf(c).failed++
--- a/internal/steerer/room_fleet_test.go
+++ b/internal/steerer/room_fleet_test.go
@@ -202,7 +202,7 @@
 		o = roomOutcome{
 			insiders: inTime / calm.inTimeOf(inside, surgeStart, surgeEnd-1),
 			kinds:    f.kindShares(),
-			wasted:   f.wasted.Seconds() / (f.worked + f.wasted).Seconds(),
+			wasted:   f.wastedShare(),
 			after:    f.inTimeOf(everyone, surgeEnd+2, 19) / calm.inTimeOf(everyone, surgeEnd+2, 19),
 		}
 		t.Logf("shares %5v: in time %.3f of all, %.3f of those inside their share; %+.3f, Jain's index %.3f, refused by share %d (without the surge %d)",
