Bound what clients that nobody controls hold before their requests are read

Cause: the account began with a request whose head was parsed; heads in maps hold many times their bytes (80 to 97 MB of 64 at every address), the control addresses took heads of 1 MB (up to 178 MB) and calls of other instances of any size (219 MB), nothing counted descriptors (all 512 open), and a body that never ended kept its loan for ever, so that all others were refused. Ruled out: a limit on the number of fields, since a legal head may have thousands and must be served in calm; a timeout for each write, a timer for every response. Change: a wrapper of all listeners (acceptor) counts connections from clients and to servers, lets idle callers give way, strangers first, lends the memory of heads by their lines, and cuts off clients that take nothing. Bodies end when their response is due (408). Control addresses have limits of net/http and a share of the connections; calls of other instances are bounded in size and number. A connection that can't be opened for want of descriptors is not its server's fault. Setting max_descriptors.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test check generate tools bench
+.PHONY: crowds build test check generate tools bench
 
 build:
 	go build -o bin/ ./cmd/...
@@ -19,3 +19,6 @@
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/...
+
+crowds:
+	go test -tags crowds -count=1 -p 1 -run Crowd ./platform
--- /dev/null
+++ b/internal/acceptor/connection.go
@@ -0,0 +1,146 @@
+package acceptor
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+const (
+	// usualLines is the number of lines of a head whose memory is counted elsewhere: with the
+	// connection, and with the request once it is read.
+	usualLines = 64
+	// lineBytes is what a line of a head holds beyond its own bytes, in a map and its slices.
+	lineBytes = 256
+)
+
+var errNoMemory = errors.New("acceptor: no memory is left for the head")
+
+// Connection is a client's connection.
+type Connection struct {
+	*net.TCPConn
+	listener *listener
+
+	// used orders connections by their last use, and busy is set while a request is in progress.
+	used atomic.Int64
+	busy atomic.Bool
+	// served is set once a request has been read.
+	served atomic.Bool
+	// writing is the number of the write in progress, or zero.
+	writing atomic.Int64
+	// stalledWrite is the write that Sweep saw at stalledSince. The acceptor's mutex guards them.
+	stalledWrite int64
+	stalledSince time.Time
+
+	// mutex guards what the head holds.
+	mutex sync.Mutex
+	head  head
+	lent  int64
+	ended bool
+}
+
+// Begin marks the start of a request whose head has been read.
+func (c *Connection) Begin() {
+	c.served.Store(true)
+	c.busy.Store(true)
+}
+
+// End marks the end of a request. The memory of its head is given back.
+func (c *Connection) End() {
+	c.used.Store(c.listener.acceptor.uses.Add(1))
+	c.mutex.Lock()
+	c.head = head{}
+	c.giveBack()
+	c.mutex.Unlock()
+	c.busy.Store(false)
+	if a := c.listener.acceptor; a.waiting.Load() > 0 {
+		a.mutex.Lock()
+		a.signal()
+		a.mutex.Unlock()
+	}
+}
+
+// Read reads from the connection. It fails if there is no memory for the head that is read:
+// nothing of its request has run.
+func (c *Connection) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n <= 0 || c.busy.Load() {
+		return n, err
+	}
+	c.used.Store(c.listener.acceptor.uses.Add(1))
+	if !c.countHead(p[:n]) {
+		// As from the socket: a server then closes the connection, without a response that
+		// would say more than is known.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errNoMemory}
+	}
+	return n, err
+}
+
+// Write writes to the connection.
+func (c *Connection) Write(p []byte) (int, error) {
+	c.writing.Store(c.listener.acceptor.uses.Add(1))
+	n, err := c.TCPConn.Write(p)
+	c.writing.Store(0)
+	return n, err
+}
+
+// Close closes the connection and gives back what it holds. It may be called again.
+func (c *Connection) Close() error {
+	c.mutex.Lock()
+	c.ended = true
+	c.giveBack()
+	c.mutex.Unlock()
+	a := c.listener.acceptor
+	a.mutex.Lock()
+	a.remove(c)
+	a.mutex.Unlock()
+	return c.TCPConn.Close()
+}
+
+// countHead counts the lines of a head, and reports whether there is memory for them.
+func (c *Connection) countHead(p []byte) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	before := c.head.lines
+	c.head.add(p)
+	more := int64(max(c.head.lines-usualLines, 0)-max(before-usualLines, 0)) * lineBytes
+	if more == 0 {
+		return true
+	}
+	a := c.listener.acceptor.Accountant
+	if c.ended || !a.Borrow(traffic.Loan{Holder: traffic.HeadMemory, Bytes: more}) {
+		return false
+	}
+	c.lent += more
+	return true
+}
+
+func (c *Connection) giveBack() {
+	if c.lent == 0 {
+		return
+	}
+	c.listener.acceptor.Accountant.Return(traffic.Loan{Holder: traffic.HeadMemory, Bytes: c.lent})
+	c.lent = 0
+}
+
+// before reports whether a connection gives way before another.
+func (c *Connection) before(other *Connection) bool {
+	if served := c.served.Load(); served != other.served.Load() {
+		return !served
+	}
+	return c.used.Load() < other.used.Load()
+}
+
+// stalled reports whether one write has been in progress for a time.
+func (c *Connection) stalled(now time.Time, stallTimeout time.Duration) bool {
+	writing := c.writing.Load()
+	if writing == 0 || writing != c.stalledWrite {
+		c.stalledWrite, c.stalledSince = writing, now
+		return false
+	}
+	return now.Sub(c.stalledSince) >= stallTimeout
+}
--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -32,6 +32,7 @@
 	onceResponsePercent = 65
 	responsePercent     = 50
 	bodyPercent         = 40
+	headPercent         = 40
 	// Each rank down to lowestRank may use rankPercent less for requests and bodies than the
 	// one before it.
 	rankPercent = 5
@@ -40,6 +41,10 @@
 	connectionPercent = 50
 )
 
+// MaxConnectionPercent is the share of the limit, in percent, that callers' connections may
+// hold: above connectionPercent there is room for those that close with their next response.
+const MaxConnectionPercent = 60
+
 // Accountant counts borrowed bytes. Set the exported fields before the first loan.
 type Accountant struct {
 	// Limit is the number of bytes that all holders together may borrow.
@@ -125,6 +130,8 @@
 		percent = onceResponsePercent
 	case traffic.ResponseMemory:
 		percent = responsePercent
+	case traffic.HeadMemory:
+		percent = headPercent
 	case traffic.BodyMemory:
 		percent = bodyPercent - rankDiscount
 		if a.held[traffic.BodyMemory] == 0 {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/clock"
@@ -49,8 +50,10 @@
 	MaxBodyBytes int64
 	// Bodies reads the bodies of responses.
 	Bodies *collector.Collector
-	// Opened is called for each new connection; it may be nil.
+	// Opened is called for each new connection, and Closed when one has been closed; they may
+	// be nil.
 	Opened func()
+	Closed func()
 	// Undecoded is called with each header of a response that could not be decoded in
 	// full; it may be nil.
 	Undecoded func(header string)
@@ -88,7 +91,7 @@
 	for {
 		c, err := f.connect(ctx, send)
 		if err != nil {
-			busy := errors.Is(err, errTooMany) || ctx.Err() != nil
+			busy := errors.Is(err, errTooMany) || ctx.Err() != nil || outOfDescriptors(err)
 			return traffic.Outcome{Fate: traffic.NotRun, Unreachable: !busy, Err: err}
 		}
 		reused := !c.idleSince.IsZero()
@@ -102,6 +105,12 @@
 	}
 }
 
+// outOfDescriptors reports whether a connection could not be opened for a reason on this
+// instance's side.
+func outOfDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
 // exchangeOn exchanges a request and its response on a connection, and then returns
 // the connection to its pool or closes it.
 func (f *Forwarder) exchangeOn(ctx context.Context, c *connection, request traffic.Request, send traffic.Send, mayStart func() bool) traffic.Outcome {
--- /dev/null
+++ b/internal/gossiper/bounded_test.go
@@ -0,0 +1,77 @@
+package gossiper
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/rpc"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/yuccathread/yuccathread/internal/traffic"
+)
+
+// slowPeer answers calls once release is closed.
+type slowPeer struct {
+	started atomic.Int64
+	release chan struct{}
+}
+
+func (p *slowPeer) Changes(_ traffic.ChangesQuery, reply *traffic.ChangesReply) error {
+	p.started.Add(1)
+	<-p.release
+	reply.Reason = "released"
+	return nil
+}
+
+func startBounded(t *testing.T, peer any) string {
+	t.Helper()
+	mux := http.NewServeMux()
+	assert.NilError(t, ServeBounded(mux, peer))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Guards against callers that send calls without end: few are in progress on a connection at
+// once, and the others are answered later.
+func TestCallsInProgressAreBounded(t *testing.T) {
+	peer := &slowPeer{release: make(chan struct{})}
+	client, err := rpc.DialHTTPPath("tcp", startBounded(t, peer), rpcPath)
+	assert.NilError(t, err)
+	defer client.Close()
+	done := make(chan *rpc.Call, 20)
+	for range 20 {
+		client.Go(rpcService+".Changes", traffic.ChangesQuery{}, &traffic.ChangesReply{}, done)
+	}
+	for peer.started.Load() < maxCalls {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, peer.started.Load(), int64(maxCalls))
+	close(peer.release)
+	for range 20 {
+		call := <-done
+		assert.NilError(t, call.Error)
+		assert.Equal(t, call.Reply.(*traffic.ChangesReply).Reason, "released")
+	}
+}
+
+// Guards against a message whose length says that it is huge: the connection ends at the size
+// limit of a call.
+func TestLargeCallEndsItsConnection(t *testing.T) {
+	g := Gossiper{Timeout: 5 * time.Second}
+	client, err := g.dial(startBounded(t, &slowPeer{}))
+	assert.NilError(t, err)
+	defer client.Close()
+	var reply traffic.ChangesReply
+	err = client.Call(rpcService+".Changes", strings.Repeat("x", 2*maxCallBytes), &reply)
+	assert.Assert(t, err != nil)
+	err = client.Call(rpcService+".Changes", traffic.ChangesQuery{}, &reply)
+	assert.Assert(t, errors.Is(err, rpc.ErrShutdown) || errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
+}
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -19,6 +19,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 
+	"github.com/yuccathread/yuccathread/internal/acceptor"
 	"github.com/yuccathread/yuccathread/internal/accountant"
 	"github.com/yuccathread/yuccathread/internal/carrier"
 	"github.com/yuccathread/yuccathread/internal/clock"
@@ -71,6 +72,7 @@
 	times           timekeeper.Timekeeper
 	registry        metrics.Registry
 	accountant      *accountant.Accountant
+	acceptor        *acceptor.Acceptor
 	forwarder       *forwarder.Forwarder
 	carrier         *carrier.Carrier
 	receiver        *receiver.Receiver
@@ -129,13 +131,18 @@
 	l.frequentLimiter = rate.NewLimiter(rate.Limit(s.LogLines), max(s.LogLines, 1))
 	l.failureLimiter = rate.NewLimiter(maxFailureLines, maxFailureLines)
 	l.accountant = &accountant.Accountant{Limit: s.MemoryMB << 20 * lentPercent / 100, Refused: l.memoryRefused}
+	l.acceptor = &acceptor.Acceptor{Limit: connectionLimit(s.MaxDescriptors, descriptorLimit), Accountant: l.accountant}
 	l.forwarder = &forwarder.Forwarder{
 		Codec:        l.Codec,
 		Clock:        l.Clock,
 		MaxBodyBytes: maxBodyBytes,
 		// Each request has borrowed what a small response needs.
-		Bodies:    &collector.Collector{Accountant: l.accountant, Free: receiver.ResponseBytes},
-		Opened:    func() { metrics.GetOrRegisterCounter("connections.opened", l.registry).Inc(1) },
+		Bodies: &collector.Collector{Accountant: l.accountant, Free: receiver.ResponseBytes},
+		Opened: func() {
+			metrics.GetOrRegisterCounter("connections.opened", l.registry).Inc(1)
+			l.acceptor.ServerOpened()
+		},
+		Closed:    l.acceptor.ServerClosed,
 		Undecoded: l.countUndecoded,
 	}
 	l.registrar = &registrar.Registrar{Store: l.Store, Instance: self, Logger: l.Logger, Times: l.times}
@@ -237,6 +244,7 @@
 		}
 		if n%sweepTicks == 0 {
 			l.forwarder.Sweep()
+			l.acceptor.Sweep(l.Clock.Now(), l.receiver.StallTimeout())
 		}
 	}
 }
--- a/internal/launcher/listener.go
+++ b/internal/launcher/listener.go
@@ -11,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/yuccathread/yuccathread/internal/acceptor"
 	"github.com/yuccathread/yuccathread/internal/explainer"
 	"github.com/yuccathread/yuccathread/internal/exposer"
 	"github.com/yuccathread/yuccathread/internal/steerer"
@@ -24,6 +25,9 @@
 	defaultHeaderBytes   = 16 << 10
 	// shownOrganisations bounds the number of organisations with metrics of their own.
 	shownOrganisations = 20
+	// controlTimeout bounds the reading of a request for readiness, look-ups and metrics, and
+	// the writing of its response.
+	controlTimeout = 10 * time.Second
 )
 
 // listenControl serves readiness, look-ups and metrics.
@@ -47,8 +51,17 @@
 		muxes[l.Settings.PeerAddress] = mux
 	}
 	for address, mux := range muxes {
-		server := &http.Server{Handler: mux, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
-		if err := l.serve(address, server, serveErrors); err != nil {
+		server := &http.Server{
+			Handler:           acceptor.Track(mux),
+			ConnContext:       acceptor.ConnContext,
+			ReadHeaderTimeout: defaultHeaderTimeout,
+			ReadTimeout:       controlTimeout,
+			WriteTimeout:      controlTimeout,
+			IdleTimeout:       defaultIdleTimeout,
+			MaxHeaderBytes:    defaultHeaderBytes,
+			ErrorLog:          slog.NewLogLogger(l.Logger.Handler(), slog.LevelDebug),
+		}
+		if err := l.serve(address, server, l.controlConnections(address), false, serveErrors); err != nil {
 			return err
 		}
 	}
@@ -59,6 +72,8 @@
 	for holder, bytes := range l.accountant.Held() {
 		metrics.GetOrRegisterGauge("memory.lent_bytes."+string(holder), l.registry).Update(bytes)
 	}
+	metrics.GetOrRegisterGauge("connections.open", l.registry).Update(int64(l.acceptor.Open()))
+	metrics.GetOrRegisterGauge("connections.gave_way", l.registry).Update(l.acceptor.GaveWay())
 	l.carrier.View(func(s *steerer.Steerer) {
 		metrics.GetOrRegisterGauge("in_flight", l.registry).Update(int64(s.InFlight()))
 		metrics.GetOrRegisterGauge("configuration_version", l.registry).Update(s.Version())
@@ -86,7 +101,7 @@
 		l.carrier.View(func(s *steerer.Steerer) { synced, limits = s.Synced(), s.Limits() })
 		if synced {
 			callerServer := l.newCallerServer(limits)
-			return callerServer, l.serve(l.Settings.CallerAddress, callerServer, serveErrors)
+			return callerServer, l.serve(l.Settings.CallerAddress, callerServer, l.callerConnections(), true, serveErrors)
 		}
 		select {
 		case <-ticker.C:
@@ -121,11 +136,14 @@
 	return fallback
 }
 
-func (l *Launcher) serve(address string, server *http.Server, serveErrors chan<- error) error {
-	listener, err := net.Listen("tcp", address)
+// serve serves an address on which at most most connections are open; yields is set if they
+// give way to all others.
+func (l *Launcher) serve(address string, server *http.Server, most int, yields bool, serveErrors chan<- error) error {
+	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("launcher: %w", err)
 	}
+	listener := l.acceptor.Listen(inner, most, yields)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			serveErrors <- fmt.Errorf("launcher: %w", err)
--- a/internal/preparer/preparer.go
+++ b/internal/preparer/preparer.go
@@ -97,6 +97,7 @@
 	add(s.PeerAddress != "" && err != nil, "/peer_address", "must be an IP address and a port, or empty")
 	add(len(s.Domains) == 0, "/failure_domains", "must name a region for each failure domain")
 	add(s.MemoryMB < 1, "/memory_mb", "must be at least 1")
+	add(s.MaxDescriptors < 0, "/max_descriptors", "must not be negative")
 	add(s.ProcessorShare < 0, "/processor_share", "must not be negative")
 	add(s.LinkMbps < 0, "/link_mbps", "must not be negative")
 	add(s.LogLines < 0, "/log_lines_per_second", "must not be negative")
--- a/internal/receiver/caller.go
+++ b/internal/receiver/caller.go
@@ -18,13 +18,13 @@
 	return context.WithValue(ctx, connectionKey{}, conn)
 }
 
-// connectionBytes is what a caller's connection holds while no request is in progress.
-const connectionBytes = 20 << 10
+// ConnectionBytes is what a caller's connection holds while no request is in progress.
+const ConnectionBytes = 20 << 10
 
 // ConnState is the ConnState of the http.Server whose handler is Serve. It counts the memory
 // of connections.
 func (r *Receiver) ConnState(_ net.Conn, state http.ConnState) {
-	loan := traffic.Loan{Holder: traffic.ConnectionMemory, Bytes: connectionBytes}
+	loan := traffic.Loan{Holder: traffic.ConnectionMemory, Bytes: ConnectionBytes}
 	switch state {
 	case http.StateNew:
 		r.Bodies.Accountant.Charge(loan)
@@ -57,3 +57,20 @@
 	})
 	return left || err != nil
 }
+
+// tracked is a connection that is told when a request on it is in progress.
+type tracked interface {
+	Begin()
+	End()
+}
+
+// track tells a caller's connection that a request is in progress. The function that it
+// returns tells it the end.
+func track(ctx context.Context) func() {
+	conn, ok := ctx.Value(connectionKey{}).(tracked)
+	if !ok {
+		return func() {}
+	}
+	conn.Begin()
+	return conn.End
+}
--- a/internal/receiver/connection_memory_test.go
+++ b/internal/receiver/connection_memory_test.go
@@ -44,7 +44,7 @@
 	listener := listen(t)
 	r := newCallerReceiver(&decided)
 	server := newCallerServer(r, gate)
-	r.Bodies.Accountant.Limit = 2 * (count - 100) * connectionBytes
+	r.Bodies.Accountant.Limit = 2 * (count - 100) * ConnectionBytes
 	go server.Serve(listener)
 	defer server.Close()
 	before := usedBytes()
--- a/internal/receiver/deliver.go
+++ b/internal/receiver/deliver.go
@@ -98,7 +98,7 @@
 // writeBody writes a body and what follows it, and returns the length of the latter.
 func (r *Receiver) writeBody(w http.ResponseWriter, body []byte, rest io.Reader) (int64, error) {
 	controller := http.NewResponseController(w)
-	chunks := &chunkWriter{writer: w, setDeadline: controller.SetWriteDeadline, timeout: r.idleTimeout()}
+	chunks := &chunkWriter{writer: w, setDeadline: controller.SetWriteDeadline, timeout: r.StallTimeout()}
 	for len(body) > 0 {
 		n := min(len(body), ResponseBytes)
 		if _, err := chunks.Write(body[:n]); err != nil {
@@ -118,8 +118,8 @@
 	return streamed, controller.SetWriteDeadline(time.Time{})
 }
 
-// idleTimeout returns the time within which a caller must take a part of a response.
-func (r *Receiver) idleTimeout() time.Duration {
+// StallTimeout returns the time within which a caller must take a part of a response.
+func (r *Receiver) StallTimeout() time.Duration {
 	timeout := r.IdleTimeout
 	r.Carrier.View(func(s *steerer.Steerer) {
 		if t := s.Limits().IdleTimeout; t > 0 {
--- a/internal/receiver/receiver.go
+++ b/internal/receiver/receiver.go
@@ -14,7 +14,9 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -62,9 +64,10 @@
 // Serve forwards a caller's request to an upstream server and writes the response.
 func (r *Receiver) Serve(w http.ResponseWriter, req *http.Request) {
 	defer r.logPanic(req)
+	defer track(req.Context())()
 	receivedAt := r.Clock.Now()
 	request := r.Codec.DecodeRequest(req)
-	limit, rank := r.terms(request)
+	limit, rank, due := r.terms(request)
 	needed := traffic.Loan{Holder: traffic.RequestMemory, Rank: rank, Bytes: requestBytes}
 	if !r.Bodies.Accountant.Borrow(needed) {
 		r.refuseUnread(w, request, collector.ErrMemory)
@@ -72,7 +75,11 @@
 	}
 	defer r.Bodies.Accountant.Return(needed)
 	loan := traffic.Loan{Holder: traffic.BodyMemory, Rank: rank}
+	if due > 0 {
+		r.setBodyDeadline(req, receivedAt.Add(due))
+	}
 	body, err := r.readBody(w, req, limit, loan)
+	r.setBodyDeadline(req, time.Time{})
 	if err != nil {
 		r.Bodies.Release(body, loan)
 		r.refuseUnread(w, request, err)
@@ -127,16 +134,32 @@
 	metrics.GetOrRegisterCounter(name, r.Registry).Inc(1)
 }
 
-// terms returns the maximum size of a request's body, and the rank of the request.
-func (r *Receiver) terms(request traffic.Request) (limit int64, rank int) {
-	limit = r.MaxBodyBytes
+// terms returns the maximum size of a request's body, the rank of the request, and the time in
+// which it must be whole. A caller without a route may take the idle timeout.
+func (r *Receiver) terms(request traffic.Request) (limit int64, rank int, due time.Duration) {
+	limit, due = r.MaxBodyBytes, r.IdleTimeout
 	r.Carrier.View(func(s *steerer.Steerer) {
-		if bytes := s.Limits().BodyBytes; bytes > 0 {
-			limit = bytes
+		limits := s.Limits()
+		if limits.BodyBytes > 0 {
+			limit = limits.BodyBytes
+		}
+		if limits.IdleTimeout > 0 {
+			due = limits.IdleTimeout
+		}
+		if answered := s.AnswerLimit(request); answered > 0 {
+			due = answered
 		}
 		rank = s.Rank(request)
 	})
-	return limit, rank
+	return limit, rank, due
+}
+
+// setBodyDeadline bounds the time in which the body of a request must arrive.
+func (r *Receiver) setBodyDeadline(req *http.Request, deadline time.Time) {
+	if conn, ok := req.Context().Value(connectionKey{}).(net.Conn); ok && req.ContentLength != 0 {
+		// It fails only on a connection that has been closed, on which reading fails as well.
+		_ = conn.SetReadDeadline(deadline)
+	}
 }
 
 // readBody reads a complete body of at most limit bytes. The caller must release it,
@@ -158,6 +181,8 @@
 		refusal.RetryAfter = memoryRetryAfter/2 + rand.N(memoryRetryAfter)
 	case errors.As(err, &tooLarge):
 		refusal.Reason = traffic.TooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		refusal.Reason = traffic.SlowRequest
 	}
 	r.Carrier.Record(traffic.Record{
 		Level:   slog.LevelWarn,
@@ -187,6 +212,7 @@
 	traffic.OverQuota:    http.StatusTooManyRequests,
 	traffic.TooLarge:     http.StatusRequestEntityTooLarge,
 	traffic.BadRequest:   http.StatusBadRequest,
+	traffic.SlowRequest:  http.StatusRequestTimeout,
 	traffic.Misdirected:  http.StatusMisdirectedRequest,
 }
 
@@ -205,6 +231,9 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	r.closeIfNotKept(w.Header())
+	if refusal.Reason == traffic.SlowRequest {
+		w.Header().Set("Connection", "close")
+	}
 	r.count("answers.own." + string(refusal.Reason))
 	http.Error(w, string(refusal.Reason), status)
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -125,7 +125,7 @@
 	} {
 		gob.RegisterName(name, event)
 	}
-	return gossiper.Serve(mux, r)
+	return gossiper.ServeBounded(mux, r)
 }
 
 // Age returns how old what this instance knows of the store may be, or zero before its first
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -169,11 +169,24 @@
 // route's timeout or responseMargin before the end of the caller's own limit,
 // whichever comes first.
 func finalDeadline(c *call) time.Time {
-	limit := c.route.Timeout
-	if callerLimit := c.request.Limit - responseMargin; c.request.Limit > 0 && (limit <= 0 || callerLimit < limit) {
+	return c.readAt.Add(answerLimit(c.route, c.request))
+}
+
+// AnswerLimit returns the time after the arrival of a request within which its final response
+// is due, or zero if it has no route: what is read of it later is of no use.
+func (s *Steerer) AnswerLimit(r traffic.Request) time.Duration {
+	if route := s.match(r.HostName, r.Path); route != nil {
+		return answerLimit(route, r)
+	}
+	return 0
+}
+
+func answerLimit(r *route, request traffic.Request) time.Duration {
+	limit := r.Timeout
+	if callerLimit := request.Limit - responseMargin; request.Limit > 0 && (limit <= 0 || callerLimit < limit) {
 		limit = callerLimit
 	}
-	return c.readAt.Add(limit)
+	return limit
 }
 
 // dispatch sends a call to the best server, or gives it up if there is none.
--- a/internal/traffic/memory.go
+++ b/internal/traffic/memory.go
@@ -16,6 +16,8 @@
 	ResponseMemory     Holder = "responses"
 	// ConnectionMemory is the connections of callers.
 	ConnectionMemory Holder = "connections"
+	// HeadMemory is the heads of requests beyond their usual number of lines.
+	HeadMemory Holder = "heads"
 )
 
 // Loan is a number of bytes that a holder wants to use.
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -123,4 +123,6 @@
 	Misdirected  Refusal = "misdirected"
 	TooLarge     Refusal = "too_large"
 	BadRequest   Refusal = "bad_request"
+	// SlowRequest is for a request whose body was not whole when its response was due.
+	SlowRequest Refusal = "slow_request"
 )
--- a/internal/traffic/settings.go
+++ b/internal/traffic/settings.go
@@ -26,6 +26,9 @@
 	Domains map[string]string `json:"failure_domains"`
 	// MemoryMB is the memory limit of the process.
 	MemoryMB int64 `json:"memory_mb"`
+	// MaxDescriptors is the number of descriptors that the process may have open; zero if only
+	// the system's own limit applies.
+	MaxDescriptors int `json:"max_descriptors"`
 	// ProcessorShare is the instance's share of a processor core, and LinkMbps the bandwidth
 	// of its link in Mbit/s; zero if they are not known. They tell which instances read the
 	// store for others.
