Take nothing for a response whose status is none

Cause: net/http takes any three characters that Atoi reads for a status. 000 to 099 and +20 were taken for interim: the request waited for its deadline (504), or was given the next response on the connection. 600 to 999 went to callers, and one that said that it had not run made a request that must not run twice be sent again. Change: one rule where responses are read: three digits from 100 to 599. Anything else is no response: its request may have run, its connection is closed, it counts as its server's failure, the caller gets 502. 1xx are skipped up to the bound, as before. Seen failing: TestStatusThatIsNone for 000, 001, 020, 099, 600, 999, +20, +99, each in four ways; TestServerWhoseStatusIsNone for all five (504 or 503 in place of 502); FuzzResponses with its seeds of 600 and 999.

--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/yuccathread/yuccathread/internal/collector"
 	"github.com/yuccathread/yuccathread/internal/traffic"
@@ -21,6 +22,7 @@
 var (
 	errTooLarge    = errors.New("forwarder: the response exceeds the size limit")
 	errTooMuch     = errors.New("forwarder: too many other responses precede the response")
+	errNoStatus    = errors.New("forwarder: the response has a status that is none")
 	errNoRequestID = errors.New("forwarder: the response carries no request ID")
 )
 
@@ -75,6 +77,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("forwarder: %w", err)
 	}
+	if !hasStatus(response) {
+		return nil, errNoStatus
+	}
 	body, err := c.boundedBody(response)
 	if err != nil {
 		return nil, err
@@ -98,6 +103,16 @@
 	return nil, nil
 }
 
+// hasStatus reports whether a response has a status: three digits from 100 to 599. net/http also
+// takes others, with a sign or below 100. What has none is no response, so that nothing else
+// that it says counts.
+func hasStatus(response *http.Response) bool {
+	text, _, _ := strings.Cut(response.Status, " ")
+	return len(text) == 3 && text[0] >= '1' && text[0] <= '5' && isDigit(text[1]) && isDigit(text[2])
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
 // boundedBody returns a reader of a response's body that fails once the body is too large.
 func (c *connection) boundedBody(response *http.Response) (io.Reader, error) {
 	if response.Body == http.NoBody {
