Count responses that are cut, and attempts across a panic, at their servers

Cause: the start of a response that is passed on while it is read counted as its server's success, and a break later on as nothing, so that a server that cuts off all of them was used on. After a panic in a decision the call was dropped with its attempts, whose ends were then ignored: the server's count of requests in flight stayed one too high. Change: a partial response counts when its rest has ended (event RestEnded), as success or failure; one given up by its caller counts as neither. A call whose decision panics is kept as answered until its attempts have ended; attempts of the very event that panicked were never sent and are dropped.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -54,6 +54,9 @@
 	// be nil.
 	Opened func()
 	Closed func()
+	// RestEnded is called when what was passed on of a response while it was read has ended, with
+	// the reason if it is not whole; it may be nil.
+	RestEnded func(upstream traffic.Upstream, err error)
 	// Undecoded is called with each header of a response that could not be decoded in
 	// full; it may be nil.
 	Undecoded func(header string)
@@ -133,8 +136,10 @@
 	f.reportUndecoded(reply)
 	// Without an ID, a response can't be told from one that the server repeats. A connection
 	// on which a response is still to be read is closed when that is over.
+	stream := streamOf(reply)
 	switch {
-	case streamOf(reply) != nil:
+	case stream != nil:
+		stream.ended = func(err error) { f.reportRest(send.Upstream, err) }
 	case request.ID != "" && c.reusable(reply):
 		f.put(c)
 	default:
@@ -164,6 +169,12 @@
 	}
 }
 
+func (f *Forwarder) reportRest(upstream traffic.Upstream, err error) {
+	if f.RestEnded != nil {
+		f.RestEnded(upstream, err)
+	}
+}
+
 // failedOutcome returns the outcome of an exchange without a complete response.
 // idle is how long the connection had been idle before.
 func (f *Forwarder) failedOutcome(err error, idle time.Duration) traffic.Outcome {
--- a/internal/forwarder/response.go
+++ b/internal/forwarder/response.go
@@ -146,6 +146,7 @@
 	switch {
 	case errors.Is(err, collector.ErrMemory) && reply.Status < http.StatusInternalServerError:
 		r.reader = body
+		reply.Partial = true
 		return nil
 	case err != nil:
 		closeReply(*reply)
--- a/internal/forwarder/rest.go
+++ b/internal/forwarder/rest.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -18,7 +19,11 @@
 	connection *connection
 	// stallTimeout bounds the time without a byte from the server.
 	stallTimeout time.Duration
-	once         sync.Once
+	// ended, if set, is called once when the rest has been read, or can't be: with the reason,
+	// or nil if the response was whole.
+	ended     func(err error)
+	endedOnce sync.Once
+	once      sync.Once
 	// closed is closed by Close.
 	closed chan struct{}
 }
@@ -31,7 +36,18 @@
 	if err := r.connection.conn.SetReadDeadline(time.Now().Add(r.stallTimeout)); err != nil {
 		return 0, err
 	}
-	return r.reader.Read(p)
+	n, err := r.reader.Read(p)
+	if err != nil && r.ended != nil {
+		r.endedOnce.Do(func() { r.ended(unlessEOF(err)) })
+	}
+	return n, err
+}
+
+func unlessEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
 }
 
 // Close gives back the memory of the body and lets the connection be closed. It does not
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -144,6 +144,9 @@
 		},
 		Closed:    l.acceptor.ServerClosed,
 		Undecoded: l.countUndecoded,
+		RestEnded: func(u traffic.Upstream, err error) {
+			l.carrier.Handle(traffic.RestEnded{Upstream: u, Err: err})
+		},
 	}
 	l.registrar = &registrar.Registrar{Store: l.Store, Instance: self, Logger: l.Logger, Times: l.times}
 	l.publisher = &publisher.Publisher{Store: l.Store, Logger: l.Logger, Timeout: l.times.LeaseCallTimeout()}
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -74,6 +74,8 @@
 	number int
 	server *upstream
 	sentAt time.Time
+	// reduction is the number of the event that sent it.
+	reduction uint64
 	estimate
 }
 
@@ -208,8 +210,9 @@
 func (s *Steerer) sendAttempt(c *call, choice choice) {
 	u := choice.server
 	c.attempts++
+	u.inFlight++
 	c.pending = append(c.pending, &attempt{
-		number: c.attempts, server: u, sentAt: s.now, estimate: choice.estimate,
+		number: c.attempts, server: u, sentAt: s.now, reduction: s.reductions, estimate: choice.estimate,
 	})
 	c.lastChoice = choice
 	c.tried[u.ID] = true
@@ -219,7 +222,6 @@
 	if s.isCold(u) {
 		s.recordColdSend(c, u)
 	}
-	u.inFlight++
 	u.objects.add(objectKey(c), s.now)
 	s.emit(traffic.Send{
 		Call:         c.number,
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -81,9 +81,10 @@
 	u := a.server
 	switch {
 	case o.Fate == traffic.Ran && o.Reply.Status < http.StatusInternalServerError:
-		u.ejector.Succeed()
-		s.updateFailureRate(u, false)
 		s.updateWorkTimes(c, a, o)
+		if !o.Reply.Partial {
+			s.countSuccess(u)
+		}
 	case o.Reply.Misdirected:
 		u.misdirected = true
 		s.recordStateChange("server has handed on its address", attr("server", u.ID), attr("address", u.Address))
@@ -101,6 +102,24 @@
 	}
 }
 
+// handleRestEnded counts a response that was passed on while it was read, now that it is known
+// whether it was whole.
+func (s *Steerer) handleRestEnded(e traffic.RestEnded) {
+	u := s.upstreams[e.Upstream.ID]
+	switch {
+	case u == nil || u.Address != e.Upstream.Address:
+	case e.Err != nil:
+		s.countFailure(u, 1, errorText(e.Err))
+	default:
+		s.countSuccess(u)
+	}
+}
+
+func (s *Steerer) countSuccess(u *upstream) {
+	u.ejector.Succeed()
+	s.updateFailureRate(u, false)
+}
+
 // countFailure counts a server's failure. weight is the number of failures that it
 // counts as.
 func (s *Steerer) countFailure(u *upstream, weight int, reason string) {
--- a/internal/steerer/steerer.go
+++ b/internal/steerer/steerer.go
@@ -21,6 +21,7 @@
 import (
 	"math"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/detector"
@@ -40,6 +41,8 @@
 
 	now     time.Time
 	effects []traffic.Effect
+	// reductions counts the events.
+	reductions uint64
 
 	policy *traffic.Policy
 	// policyRevision is the store revision of the policy's record.
@@ -100,6 +103,7 @@
 		s.initialize()
 	}
 	s.now = now
+	s.reductions++
 	s.effects = s.effects[:0]
 	s.reduce(e)
 	return s.effects
@@ -129,6 +133,8 @@
 		s.handleStarting(e)
 	case traffic.Ended:
 		s.handleEnded(e)
+	case traffic.RestEnded:
+		s.handleRestEnded(e)
 	case traffic.Overdue:
 		s.handleOverdue(e)
 	case traffic.Expired:
@@ -257,9 +263,21 @@
 	return len(s.calls)
 }
 
-// Forget drops a call whose events can't be handled.
+// Forget ends a call whose last event can't be handled. Its attempts that have been sent count
+// until they end; those that this event was to send never will be.
 func (s *Steerer) Forget(call uint64) {
-	delete(s.calls, call)
+	c := s.calls[call]
+	if c == nil {
+		return
+	}
+	for _, a := range slices.Clone(c.pending) {
+		if a.reduction == s.reductions {
+			c.removeAttempt(a.number)
+			a.server.inFlight--
+		}
+	}
+	c.answered = true
+	s.removeIfDone(c)
 }
 
 // times returns the intervals that follow from the bounds in the settings.
--- a/internal/traffic/event.go
+++ b/internal/traffic/event.go
@@ -30,6 +30,14 @@
 	Outcome Outcome
 }
 
+// RestEnded reports that the rest of a partial response has been read, or that its server has
+// broken it off.
+type RestEnded struct {
+	Upstream Upstream
+	// Err is why the response is not whole, or nil.
+	Err error
+}
+
 // Overdue fires when the timer of a StartOverdueTimer expires.
 type Overdue struct {
 	Call    uint64
@@ -135,6 +143,7 @@
 func (Arrived) event()           {}
 func (Starting) event()          {}
 func (Ended) event()             {}
+func (RestEnded) event()         {}
 func (Overdue) event()           {}
 func (Expired) event()           {}
 func (CallerLeft) event()        {}
--- a/internal/traffic/request.go
+++ b/internal/traffic/request.go
@@ -43,6 +43,9 @@
 	// Rest is what follows Body. It is empty unless there is no memory for a large body, which
 	// is then passed on while it is read. Closing Rest gives back what the response holds.
 	Rest io.ReadCloser
+	// Partial is set if Rest holds a part of the body: whether the response is whole is not
+	// known until that has been read.
+	Partial bool
 	// Length is the length of the whole body, or negative if it is not known.
 	Length int64
 	// RequestID is the request ID in the response.
