Take no break of a response after its deadline for its server's failure

A server may stop work at the deadline that it was given; the caller may have read slowly. Seen failing: the case of TestEndOfAPartialResponseIsReported that is cut after the deadline.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -139,7 +139,7 @@
 	stream := streamOf(reply)
 	switch {
 	case stream != nil:
-		stream.ended = func(err error) { f.reportRest(send.Upstream, err) }
+		stream.ended = func(err error) { f.reportRest(send, err) }
 	case request.ID != "" && c.reusable(reply):
 		f.put(c)
 	default:
@@ -169,9 +169,12 @@
 	}
 }
 
-func (f *Forwarder) reportRest(upstream traffic.Upstream, err error) {
-	if f.RestEnded != nil {
-		f.RestEnded(upstream, err)
+// reportRest reports the end of a response that was passed on. A break after the deadline says
+// nothing of the server, which may stop then: the caller may have read slowly.
+func (f *Forwarder) reportRest(send traffic.Send, err error) {
+	late := err != nil && !f.Clock.Now().Before(send.Deadline)
+	if f.RestEnded != nil && !late {
+		f.RestEnded(send.Upstream, err)
 	}
 }
 
