--- a/internal/preparer/preparer_test.go
+++ b/internal/preparer/preparer_test.go
@@ -38,7 +38,7 @@
 }
 
 func TestEveryFindingIsReported(t *testing.T) {
-	err := load(t, `{"instance": "", "failure_domain": "a", "region": "b", "caller_address": "nowhere", "memory_mb": 0, "processor_share": -1, "link_mbps": -1,
+	err := load(t, `{"instance": "", "failure_domain": "a", "region": "b", "caller_address": "nowhere", "memory_mb": 0, "max_descriptors": -1, "processor_share": -1, "link_mbps": -1,
 		"bounds": {"grace": "0s", "retry_ratio": -1}}`)
 	var findings *model.FindingsError
 	assert.Assert(t, errors.As(err, &findings))
@@ -47,7 +47,7 @@
 		fields[f.Field] = true
 	}
 	for _, field := range []string{
-		"/instance", "/caller_address", "/store_address", "/memory_mb", "/processor_share", "/link_mbps", "/bounds/grace", "/bounds/retry_ratio", "/failure_domains",
+		"/instance", "/caller_address", "/store_address", "/memory_mb", "/max_descriptors", "/processor_share", "/link_mbps", "/bounds/grace", "/bounds/retry_ratio", "/failure_domains",
 	} {
 		assert.Assert(t, fields[field], field)
 	}
