--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -50,18 +50,20 @@
 	return &listener{Listener: inner, acceptor: a, most: most, yields: yields}
 }
 
-// ServerOpened counts a connection to a server, for which an idle one may have to give way.
-func (a *Acceptor) ServerOpened() {
+// ReserveServer counts a connection to a server, for which an idle one may have to give way. It
+// returns false if there is no room.
+func (a *Acceptor) ReserveServer() bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.servers++
-	if a.total() > a.Limit {
-		a.giveWay(nil)
+	if a.total() >= a.Limit && !a.giveWay(nil) {
+		return false
 	}
+	a.servers++
+	return true
 }
 
-// ServerClosed uncounts a connection to a server.
-func (a *Acceptor) ServerClosed() {
+// ReleaseServer uncounts a connection to a server.
+func (a *Acceptor) ReleaseServer() {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.servers--
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -110,14 +110,14 @@
 	defer control.listener.Close()
 	_, checker := control.accept()
 	_, caller := f.accept()
-	f.ServerOpened()
+	assert.Assert(t, f.ReserveServer())
 	assert.Assert(t, isOpen(caller))
-	f.ServerOpened()
+	assert.Assert(t, f.ReserveServer())
 	assert.Assert(t, !isOpen(caller) && isOpen(checker))
-	f.ServerOpened()
-	assert.Equal(t, f.Open(), 4)
-	for range 3 {
-		f.ServerClosed()
+	assert.Equal(t, f.Open(), 3)
+	assert.Assert(t, !f.ReserveServer(), "there is no room")
+	for range 2 {
+		f.ReleaseServer()
 	}
 	checker.Close()
 	checker.Close()
--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -119,9 +119,7 @@
 		c.closed.Store(true)
 		c.conn.Close()
 		c.forwarder.uncount(c.key)
-		if c.forwarder.Closed != nil {
-			c.forwarder.Closed()
-		}
+		c.forwarder.release()
 	})
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -50,10 +50,12 @@
 	MaxBodyBytes int64
 	// Bodies reads the bodies of responses.
 	Bodies *collector.Collector
-	// Opened is called for each new connection, and Closed when one has been closed; they may
-	// be nil.
+	// Reserve is asked before each new connection whether there is a descriptor for it, and
+	// Release is called when it has been closed or could not be opened; they may be nil.
+	Reserve func() bool
+	Release func()
+	// Opened is called for each new connection; it may be nil.
 	Opened func()
-	Closed func()
 	// RestEnded is called when what was passed on of a response while it was read has ended, with
 	// the reason if it is not whole; it may be nil.
 	RestEnded func(upstream traffic.Upstream, err error)
@@ -209,11 +211,16 @@
 // dial opens a connection that its pool already counts as open, and uncounts it
 // if that fails.
 func (f *Forwarder) dial(ctx context.Context, key, address string, timeout time.Duration) (*connection, error) {
+	if f.Reserve != nil && !f.Reserve() {
+		f.uncount(key)
+		return nil, errTooMany
+	}
 	started := f.Clock.Now()
 	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		f.uncount(key)
+		f.release()
 		return nil, fmt.Errorf("forwarder: %w", err)
 	}
 	if f.Opened != nil {
@@ -225,6 +232,12 @@
 	return c, nil
 }
 
+func (f *Forwarder) release() {
+	if f.Release != nil {
+		f.Release()
+	}
+}
+
 // ensureSpares opens connections in the background if fewer than send.Spare are
 // idle.
 func (f *Forwarder) ensureSpares(key string, send traffic.Send) {
--- a/internal/launcher/descriptors.go
+++ b/internal/launcher/descriptors.go
@@ -16,6 +16,9 @@
 	// connectionPercent is the part of the descriptors that connections may use. The rest is for
 	// listeners, files, the store, other instances, and what is being opened.
 	connectionPercent = 85
+	// callerPercent is the part of all connections that callers may have, so that their requests
+	// find room for connections to servers.
+	callerPercent = 75
 	// The connections of a control address are bounded by a part of all connections, but not
 	// below minControlConnections: an address that callers use, one for other instances, and one
 	// that a few checkers use.
@@ -47,7 +50,7 @@
 // which responses begin to close them are cut off.
 func (l *Launcher) callerConnections() int {
 	byMemory := l.accountant.Limit / 100 * accountant.MaxConnectionPercent / receiver.ConnectionBytes
-	return max(min(l.acceptor.Limit, int(byMemory)), 1)
+	return max(min(l.acceptor.Limit*callerPercent/100, int(byMemory)), 1)
 }
 
 func (l *Launcher) controlConnections(address string) int {
--- a/internal/launcher/launcher.go
+++ b/internal/launcher/launcher.go
@@ -137,12 +137,10 @@
 		Clock:        l.Clock,
 		MaxBodyBytes: maxBodyBytes,
 		// Each request has borrowed what a small response needs.
-		Bodies: &collector.Collector{Accountant: l.accountant, Free: receiver.ResponseBytes},
-		Opened: func() {
-			metrics.GetOrRegisterCounter("connections.opened", l.registry).Inc(1)
-			l.acceptor.ServerOpened()
-		},
-		Closed:    l.acceptor.ServerClosed,
+		Bodies:    &collector.Collector{Accountant: l.accountant, Free: receiver.ResponseBytes},
+		Reserve:   l.acceptor.ReserveServer,
+		Release:   l.acceptor.ReleaseServer,
+		Opened:    func() { metrics.GetOrRegisterCounter("connections.opened", l.registry).Inc(1) },
 		Undecoded: l.countUndecoded,
 		RestEnded: func(u traffic.Upstream, err error) {
 			l.carrier.Handle(traffic.RestEnded{Upstream: u, Err: err})
