Check the length of a message of a peer before it is decoded

Cause: encoding/gob allocates up to 10 MB at once for a length that is only announced. Change: lengths are read and checked first; a call is at most 16 KiB.

--- a/internal/gossiper/bounded.go
+++ b/internal/gossiper/bounded.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxCallBytes bounds one call that is received; calls for changes are much smaller.
-	maxCallBytes = 64 << 10
+	maxCallBytes = 16 << 10
 	// maxCalls is the number of calls of one connection that are read or in progress at once.
 	maxCalls = 4
 )
@@ -50,32 +50,72 @@
 // progress.
 type boundedCodec struct {
 	conn    io.ReadWriteCloser
+	reader  *bufio.Reader
 	decoder *gob.Decoder
 	encoder *gob.Encoder
 	writer  *bufio.Writer
 	// remaining is what may still be read of a call.
-	remaining int64
+	remaining int
+	// length holds what is still to be passed on of the length of a message, and left what is of
+	// the message itself.
+	length    []byte
+	left      int
 	calls     chan struct{}
 	closeOnce sync.Once
 }
 
 func newBoundedCodec(conn io.ReadWriteCloser) *boundedCodec {
-	c := &boundedCodec{conn: conn, writer: bufio.NewWriter(conn), calls: make(chan struct{}, maxCalls)}
+	c := &boundedCodec{conn: conn, reader: bufio.NewReader(conn), writer: bufio.NewWriter(conn), calls: make(chan struct{}, maxCalls)}
 	c.decoder = gob.NewDecoder(c)
 	c.encoder = gob.NewEncoder(c.writer)
 	return c
 }
 
-// Read implements io.Reader for the decoder.
+// Read implements io.Reader for the decoder. The length of each message is checked first, since
+// the decoder allocates much of it at once.
 func (c *boundedCodec) Read(p []byte) (int, error) {
-	if c.remaining <= 0 {
-		return 0, errCallTooLarge
+	if len(c.length) == 0 && c.left == 0 {
+		if err := c.readLength(); err != nil {
+			return 0, err
+		}
+	}
+	if len(c.length) > 0 {
+		n := copy(p, c.length)
+		c.length = c.length[n:]
+		return n, nil
 	}
-	n, err := c.conn.Read(p[:min(int64(len(p)), c.remaining)])
-	c.remaining -= int64(n)
+	n, err := c.reader.Read(p[:min(len(p), c.left)])
+	c.left -= n
 	return n, err
 }
 
+// readLength reads the length of the next message as encoding/gob writes it: one byte below 128,
+// or the negated number of the bytes that follow with the length.
+func (c *boundedCodec) readLength() error {
+	first, err := c.reader.ReadByte()
+	if err != nil {
+		return err
+	}
+	c.length = append(c.length[:0], first)
+	c.left = int(first)
+	if first >= 0x80 {
+		c.left = 0
+		for range -int(int8(first)) {
+			next, err := c.reader.ReadByte()
+			if err != nil {
+				return err
+			}
+			c.length = append(c.length, next)
+			c.left = min(c.left<<8|int(next), maxCallBytes+1)
+		}
+	}
+	c.remaining -= len(c.length) + c.left
+	if c.remaining < 0 {
+		return errCallTooLarge
+	}
+	return nil
+}
+
 // ReadRequestHeader waits until a call may begin, and reads its start.
 func (c *boundedCodec) ReadRequestHeader(r *rpc.Request) error {
 	c.calls <- struct{}{}
--- a/internal/gossiper/bounded_test.go
+++ b/internal/gossiper/bounded_test.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/rpc"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -75,3 +77,26 @@
 	err = client.Call(rpcService+".Changes", traffic.ChangesQuery{}, &reply)
 	assert.Assert(t, errors.Is(err, rpc.ErrShutdown) || errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
 }
+
+// Guards against a message whose length alone makes the decoder allocate: the connection ends
+// before anything of it has arrived.
+func TestAnnouncedLengthEndsItsConnection(t *testing.T) {
+	for name, length := range map[string]string{
+		"256 MiB": "\xfc\x10\x00\x00\x00", "longest": "\xf8\xff\xff\xff\xff\xff\xff\xff\xff", "too many bytes": "\x80" + strings.Repeat("\xff", 128),
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", startBounded(t, &slowPeer{}))
+			assert.NilError(t, err)
+			defer conn.Close()
+			assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+			_, err = io.WriteString(conn, "CONNECT "+rpcPath+" HTTP/1.0\n\n")
+			assert.NilError(t, err)
+			_, err = io.ReadFull(conn, make([]byte, len("HTTP/1.0 200 Connected to Go RPC\n\n")))
+			assert.NilError(t, err)
+			_, err = io.WriteString(conn, length)
+			assert.NilError(t, err)
+			_, err = conn.Read(make([]byte, 1))
+			assert.Assert(t, errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET), "%v", err)
+		})
+	}
+}
