--- a/internal/forwarder/connection.go
+++ b/internal/forwarder/connection.go
@@ -119,6 +119,7 @@
 		c.closed.Store(true)
 		c.conn.Close()
 		c.forwarder.uncount(c.key)
+		c.forwarder.release()
 	})
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/clock"
@@ -49,8 +50,15 @@
 	MaxBodyBytes int64
 	// Bodies reads the bodies of responses.
 	Bodies *collector.Collector
+	// Reserve is asked before each new connection whether there is a descriptor for it, and
+	// Release is called when it has been closed or could not be opened; they may be nil.
+	Reserve func() bool
+	Release func()
 	// Opened is called for each new connection; it may be nil.
 	Opened func()
+	// RestEnded is called when what was passed on of a response while it was read has ended, with
+	// the reason if it is not whole; it may be nil.
+	RestEnded func(upstream traffic.Upstream, err error)
 	// Undecoded is called with each header of a response that could not be decoded in
 	// full; it may be nil.
 	Undecoded func(header string)
@@ -88,7 +96,7 @@
 	for {
 		c, err := f.connect(ctx, send)
 		if err != nil {
-			busy := errors.Is(err, errTooMany) || ctx.Err() != nil
+			busy := errors.Is(err, errTooMany) || ctx.Err() != nil || outOfDescriptors(err)
 			return traffic.Outcome{Fate: traffic.NotRun, Unreachable: !busy, Err: err}
 		}
 		reused := !c.idleSince.IsZero()
@@ -102,6 +110,12 @@
 	}
 }
 
+// outOfDescriptors reports whether a connection could not be opened for a reason on this
+// instance's side.
+func outOfDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
 // exchangeOn exchanges a request and its response on a connection, and then returns
 // the connection to its pool or closes it.
 func (f *Forwarder) exchangeOn(ctx context.Context, c *connection, request traffic.Request, send traffic.Send, mayStart func() bool) traffic.Outcome {
@@ -124,8 +138,10 @@
 	f.reportUndecoded(reply)
 	// Without an ID, a response can't be told from one that the server repeats. A connection
 	// on which a response is still to be read is closed when that is over.
+	stream := streamOf(reply)
 	switch {
-	case streamOf(reply) != nil:
+	case stream != nil:
+		stream.ended = func(err error) { f.reportRest(send, err) }
 	case request.ID != "" && c.reusable(reply):
 		f.put(c)
 	default:
@@ -155,6 +171,15 @@
 	}
 }
 
+// reportRest reports the end of a response that was passed on. A break after the deadline says
+// nothing of the server, which may stop then: the caller may have read slowly.
+func (f *Forwarder) reportRest(send traffic.Send, err error) {
+	late := err != nil && !f.Clock.Now().Before(send.Deadline)
+	if f.RestEnded != nil && !late {
+		f.RestEnded(send.Upstream, err)
+	}
+}
+
 // failedOutcome returns the outcome of an exchange without a complete response.
 // idle is how long the connection had been idle before.
 func (f *Forwarder) failedOutcome(err error, idle time.Duration) traffic.Outcome {
@@ -186,11 +211,16 @@
 // dial opens a connection that its pool already counts as open, and uncounts it
 // if that fails.
 func (f *Forwarder) dial(ctx context.Context, key, address string, timeout time.Duration) (*connection, error) {
+	if f.Reserve != nil && !f.Reserve() {
+		f.uncount(key)
+		return nil, errTooMany
+	}
 	started := f.Clock.Now()
 	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		f.uncount(key)
+		f.release()
 		return nil, fmt.Errorf("forwarder: %w", err)
 	}
 	if f.Opened != nil {
@@ -202,6 +232,12 @@
 	return c, nil
 }
 
+func (f *Forwarder) release() {
+	if f.Release != nil {
+		f.Release()
+	}
+}
+
 // ensureSpares opens connections in the background if fewer than send.Spare are
 // idle.
 func (f *Forwarder) ensureSpares(key string, send traffic.Send) {
--- a/internal/launcher/peer.go
+++ b/internal/launcher/peer.go
@@ -24,5 +24,5 @@
 
 func (l *Launcher) servePeers(mux *http.ServeMux) error {
 	l.relayer.RegisterEvents()
-	return gossiper.Serve(mux, &peer{Relayer: l.relayer, carrier: l.carrier})
+	return gossiper.ServeBounded(mux, &peer{Relayer: l.relayer, carrier: l.carrier})
 }
--- a/internal/pipeliner/request.go
+++ b/internal/pipeliner/request.go
@@ -31,9 +31,7 @@
 		return nil, err
 	}
 	position := c.position()
-	c.source.limited, c.source.limit = true, c.server.maxHeaderBytes()+bufferBytes
-	request, err := http.ReadRequest(c.reader)
-	c.source.limited = false
+	request, err := c.readHead()
 	if c.source.exceeded {
 		return nil, &headError{status: http.StatusRequestHeaderFieldsTooLarge}
 	}
@@ -57,6 +55,23 @@
 	return x, nil
 }
 
+// headMarker is a connection that is told when a head is read.
+type headMarker interface {
+	BeginHead()
+	EndHead()
+}
+
+// readHead reads a head of limited size.
+func (c *connection) readHead() (*http.Request, error) {
+	if marker, ok := c.conn.(headMarker); ok {
+		marker.BeginHead()
+		defer marker.EndHead()
+	}
+	c.source.limited, c.source.limit = true, c.server.maxHeaderBytes()+bufferBytes
+	defer func() { c.source.limited = false }()
+	return http.ReadRequest(c.reader)
+}
+
 // boundHead bounds the time in which a head must come that is not in the buffer yet.
 func (c *connection) boundHead() error {
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
--- a/internal/receiver/deliver_test.go
+++ b/internal/receiver/deliver_test.go
@@ -84,6 +84,10 @@
 				assert.Assert(t, body == start+end)
 				assert.Equal(t, response.ContentLength, length)
 			}
+			// The handler closes it after the last byte, which the caller may have read before.
+			for started := time.Now(); rest.closed.Load() == 0 && time.Since(started) < 5*time.Second; {
+				time.Sleep(time.Millisecond)
+			}
 			assert.Equal(t, rest.closed.Load(), int64(1))
 		}
 	}
--- a/internal/receiver/pipelined_test.go
+++ b/internal/receiver/pipelined_test.go
@@ -53,7 +53,7 @@
 	}
 	assert.Equal(t, decided.Load(), int64(count*ahead))
 	lent := r.Bodies.Accountant.Held()[traffic.ConnectionMemory]
-	assert.Equal(t, lent, int64(count*connectionBytes))
+	assert.Equal(t, lent, int64(count*ConnectionBytes))
 	held := usedBytes() - before
 	// The stacks of handlers that have just ended are not the connections'.
 	for end := time.Now().Add(5 * time.Second); held >= 3*lent/2 && time.Now().Before(end); held = usedBytes() - before {
--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -88,6 +88,8 @@
 	token token
 	// pace is the server's pace as known when the attempt was sent.
 	pace float64
+	// reduction is the number of the event that sent it.
+	reduction uint64
 	estimate
 }
 
@@ -183,11 +185,24 @@
 // route's timeout or responseMargin before the end of the caller's own limit,
 // whichever comes first.
 func finalDeadline(c *call) time.Time {
-	limit := c.route.Timeout
-	if callerLimit := c.request.Limit - responseMargin; c.request.Limit > 0 && (limit <= 0 || callerLimit < limit) {
+	return c.readAt.Add(answerLimit(c.route, c.request))
+}
+
+// AnswerLimit returns the time after the arrival of a request within which its final response
+// is due, or zero if it has no route: what is read of it later is of no use.
+func (s *Steerer) AnswerLimit(r traffic.Request) time.Duration {
+	if route := s.match(r.HostName, r.Path); route != nil {
+		return answerLimit(route, r)
+	}
+	return 0
+}
+
+func answerLimit(r *route, request traffic.Request) time.Duration {
+	limit := r.Timeout
+	if callerLimit := request.Limit - responseMargin; request.Limit > 0 && (limit <= 0 || callerLimit < limit) {
 		limit = callerLimit
 	}
-	return c.readAt.Add(limit)
+	return limit
 }
 
 // dispatch sends a call to the best server, or gives it up if there is none.
@@ -213,11 +228,13 @@
 func (s *Steerer) sendAttempt(c *call, choice choice) {
 	u := choice.server
 	c.attempts++
+	u.inFlight++
 	a := &attempt{
 		number: c.attempts, server: u, times: c.route.workTimes.of(choice.cached), sentAt: s.now, pace: s.paceOf(u),
-		token: s.takeQuota(c), estimate: choice.estimate,
+		reduction: s.reductions, token: s.takeQuota(c), estimate: choice.estimate,
 	}
 	c.pending = append(c.pending, a)
+	u.running = append(u.running, a)
 	c.lastChoice = choice
 	c.tried[u.ID] = true
 	c.triedServers = append(c.triedServers, u.ID)
@@ -226,8 +243,6 @@
 	if s.isCold(u) {
 		s.recordColdSend(c, u)
 	}
-	u.inFlight++
-	u.running = append(u.running, a)
 	u.objects.add(objectKey(c), s.now)
 	s.emit(traffic.Send{
 		Call:         c.number,
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 
 	"github.com/yuccathread/yuccathread/internal/traffic"
 )
@@ -18,8 +17,7 @@
 	if a == nil {
 		return
 	}
-	a.server.inFlight--
-	a.server.running = slices.DeleteFunc(a.server.running, func(other *attempt) bool { return other == a })
+	a.server.remove(a)
 	s.observeOutcome(c, a, e.Outcome)
 	if e.Outcome.Fate == traffic.NotRun {
 		s.returnQuota(a.token)
@@ -85,9 +83,9 @@
 	u := a.server
 	switch {
 	case o.Fate == traffic.Ran && o.Reply.Status < http.StatusInternalServerError:
-		u.ejector.Succeed()
-		s.updateFailureRate(u, false)
-		s.learnCuts(u)
+		if !o.Reply.Partial {
+			s.countSuccess(u)
+		}
 		s.learnWork(c, a, o)
 	case o.Reply.Misdirected:
 		u.misdirected = true
@@ -115,6 +113,25 @@
 	return !s.now.Before(c.deadline.Add(-s.roundTrip(a.server).Value() - responseMargin))
 }
 
+// handleRestEnded counts a response that was passed on while it was read, now that it is known
+// whether it was whole.
+func (s *Steerer) handleRestEnded(e traffic.RestEnded) {
+	u := s.upstreams[e.Upstream.ID]
+	switch {
+	case u == nil || u.Address != e.Upstream.Address:
+	case e.Err != nil:
+		s.countFailure(u, 1, errorText(e.Err))
+	default:
+		s.countSuccess(u)
+	}
+}
+
+func (s *Steerer) countSuccess(u *upstream) {
+	u.ejector.Succeed()
+	s.updateFailureRate(u, false)
+	s.learnCuts(u)
+}
+
 // countFailure counts a server's failure. weight is the number of failures that it
 // counts as.
 func (s *Steerer) countFailure(u *upstream, weight int, reason string) {
--- a/internal/steerer/upstream.go
+++ b/internal/steerer/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/yuccathread/yuccathread/internal/apportioner"
@@ -101,6 +102,12 @@
 	misdirected bool
 }
 
+// remove uncounts one of this instance's attempts at a server.
+func (u *upstream) remove(a *attempt) {
+	u.inFlight--
+	u.running = slices.DeleteFunc(u.running, func(other *attempt) bool { return other == a })
+}
+
 func (s *Steerer) handleUpstreamSeen(r traffic.Upstream) {
 	u := s.upstreams[r.ID]
 	if u != nil && r.Revision < u.Revision || s.isFormer(r) {
