Empty faded buckets of work times

A bucket without new samples lost a factor of a million of its weight every 3,500 samples, and after some 186,000 its reciprocal overflowed: a cut sample that was spread over it made the mean of the route negative for good. Buckets below a billionth of a new sample are emptied now, which also keeps the totals from drifting. TestTailThatHasFadedAway failed with a mean of -2562047h.

--- a/internal/predictor/predictor.go
+++ b/internal/predictor/predictor.go
@@ -36,6 +36,9 @@
 	growth = 1 + 1.0/256
 	// maxWeight is the weight of a sample at which all weights are scaled down.
 	maxWeight = 1 << 20
+	// minWeight is the part of the weight of a new sample below which a bucket is emptied.
+	// Without it, old weights would become so small that their reciprocals overflow.
+	minWeight = 1e-9
 	// minSamples is the number of samples that outweigh Initial.
 	minSamples = 8
 )
@@ -105,12 +108,16 @@
 }
 
 func (p *Predictor) scaleDown() {
+	p.weight, p.sum = 0, 0
 	for i := range p.weights {
 		p.weights[i] /= p.next
 		p.sums[i] /= p.next
+		if p.weights[i] < minWeight {
+			p.weights[i], p.sums[i] = 0, 0
+		}
+		p.weight += p.weights[i]
+		p.sum += p.sums[i]
 	}
-	p.weight /= p.next
-	p.sum /= p.next
 	p.next = 1
 }
 
--- a/internal/predictor/predictor_test.go
+++ b/internal/predictor/predictor_test.go
@@ -92,3 +92,19 @@
 	p.Observe(24 * time.Hour)
 	assert.Assert(t, p.Mean() > 0)
 }
+
+// A tail that has not been seen for very long leaves no weight so small that a cut sample
+// would scale it beyond all numbers.
+func TestTailThatHasFadedAway(t *testing.T) {
+	for _, samples := range []int{183_000, 186_000, 189_000, 192_000, 195_000} {
+		p := predictor.Predictor{Initial: usual}
+		p.Observe(30 * time.Second)
+		for range samples {
+			p.Observe(usual)
+		}
+		p.ObserveCut(time.Second)
+		assertNear(t, p.Mean(), usual)
+		assert.Assert(t, p.Remaining(0) > 0 && p.Remaining(500*time.Millisecond) > 0, "%v", p.Remaining(500*time.Millisecond))
+		assert.Assert(t, p.MeanRemaining() > 0 && p.MeanRemaining() < time.Minute)
+	}
+}
