Start second attempts only where a first one may go

A second attempt at the same server did not ask whether the server was still there, in the homes of the configuration in force, or half-open after an ejection, which allows one request at a time; and none asked whether the configuration still sends the call to the service. Those to servers and services that had left were withdrawn at their first byte, with a share of the retry budget lost each time; those outside new homes were sent.

An overdue attempt was looked at again after its expected time: 414 times in 2 s where that is a few milliseconds. Looks are 50 ms apart at least now. No timer lasts longer than the deadline and that: one was 3.6 s long for a call of 2 s.

--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -254,7 +254,7 @@
 		Organisation: c.organisationName(),
 		Idempotent:   c.idempotent,
 	})
-	s.emit(traffic.StartOverdueTimer{Call: c.number, Attempt: c.attempts, After: s.reviewAfter(c, a, choice.alternative)})
+	s.reviewLater(c, a, s.reviewAfter(c, a, choice.alternative))
 }
 
 // spareCount returns the number of spare idle connections to hold open to a server.
--- a/internal/steerer/hedge.go
+++ b/internal/steerer/hedge.go
@@ -17,6 +17,9 @@
 	// An attempt that is not worth a second one yet is looked at again after the time that it
 	// has taken divided by reviewDivisor.
 	reviewDivisor = 4
+	// minReviewInterval is the shortest time after which an overdue attempt is looked at
+	// again, and how long after the deadline a timer may still fire.
+	minReviewInterval = 50 * time.Millisecond
 )
 
 func overdueAfter(expected time.Duration) time.Duration {
@@ -96,19 +99,29 @@
 		s.learnSlowdown(a, time.Duration(ratio*float64(c.route.workTimes.mean(a.cached))))
 	}
 	// The longer an attempt is overdue, the more it says of its server.
-	next := max(a.expected, time.Millisecond)
+	next := max(a.expected, minReviewInterval)
 	if !overdue {
 		next = overdueAfter(a.expected) - waited
 	}
 	if c.idempotent && len(c.pending) == 1 && !s.hedge(c, a, overdue) {
 		next = min(next, max(waited/reviewDivisor, time.Millisecond))
 	}
-	s.emit(traffic.StartOverdueTimer{Call: c.number, Attempt: a.number, After: next})
+	s.reviewLater(c, a, next)
+}
+
+// reviewLater sets the timer of an attempt. Nothing is decided after the deadline, so that no
+// timer needs to last longer.
+func (s *Steerer) reviewLater(c *call, a *attempt, after time.Duration) {
+	after = min(after, max(0, c.deadline.Sub(s.now))+minReviewInterval)
+	s.emit(traffic.StartOverdueTimer{Call: c.number, Attempt: a.number, After: after})
 }
 
 // hedge starts a second attempt if that pays or if the first one is overdue. It returns false
 // if there is none.
 func (s *Steerer) hedge(c *call, a *attempt, overdue bool) bool {
+	if !s.policyAllows(c) {
+		return false
+	}
 	second := s.secondChoice(c, a)
 	if second.server == nil || !overdue && !s.prospectOf(c, a, second).pays() || !s.hasQuota(c) || !s.allowRetry(c, true) {
 		return false
@@ -124,7 +137,7 @@
 func (s *Steerer) secondChoice(c *call, a *attempt) choice {
 	best := s.place(c)
 	u := a.server
-	if !s.maySend(c) || !s.hasRoom(u) || s.obstacle(u) != "" || s.isCold(u) {
+	if !s.maySend(c) || !s.mayRepeatAt(c, u) {
 		return best
 	}
 	again := s.estimate(c, u, a.cached)
@@ -140,6 +153,12 @@
 	return choice{server: u, estimate: again, eligible: best.eligible}
 }
 
+// mayRepeatAt reports whether a server that works on a call may get it once more at the same
+// time.
+func (s *Steerer) mayRepeatAt(c *call, u *upstream) bool {
+	return s.upstreams[u.ID] == u && s.obstacleTo(c, u) == "" && !u.ejector.HalfOpen(s.now) && !s.isCold(u) && s.hasRoom(u)
+}
+
 // prospectOf compares an attempt that still runs with a second one.
 func (s *Steerer) prospectOf(c *call, a *attempt, second choice) prospect {
 	remaining := a.times.Remaining(s.ranFor(a))
