Withdraw attempts outside the homes of a new configuration

An attempt that was held up before its first byte was sent to its server though a configuration that had come meanwhile gave the route homes elsewhere: only its service was compared. TestHomesThatChangeBeforeTheRequestIsSent failed: the attempt might start.

--- a/internal/steerer/starting.go
+++ b/internal/steerer/starting.go
@@ -43,7 +43,7 @@
 		return withdrawnEnded
 	case s.upstreams[u.ID] != u:
 		return withdrawnGone
-	case !s.policyAllows(c):
+	case !s.policyAllows(c), !c.mayRunIn(u.region):
 		return withdrawnPolicy
 	case c.organisation != nil && s.keysOutdated():
 		return withdrawnKeys
--- a/internal/steerer/starting_test.go
+++ b/internal/steerer/starting_test.go
@@ -113,3 +113,19 @@
 	assert.Assert(t, !b.mayStart(send))
 	assert.Equal(t, b.mustRefuse(b.endAttempt(send, notSent())).Reason, traffic.Stopping)
 }
+
+// Guards against HOME: a request that has not been sent when its route gets homes goes to a
+// server there.
+func TestHomesThatChangeBeforeTheRequestIsSent(t *testing.T) {
+	b := newReadyBench(t, server("s1", "a1"))
+	_, effects := b.request("/order/1", "7")
+	send := b.mustSend(effects)
+	changed := policy(2)
+	for i := range changed.Routes {
+		changed.Routes[i].HomeRegions = []string{"b"}
+	}
+	b.handle(traffic.PolicySeen{Policy: changed})
+	b.handle(traffic.UpstreamSeen{Upstream: server("s2", "b1")})
+	assert.Assert(t, !b.mayStart(send))
+	assert.Equal(t, b.mustSend(b.endAttempt(send, notSent())).Upstream.ID, "s2")
+}
