Repeat no request whose route may no longer be repeated

Ruled out: routes are kept across versions, so that the check of service and route does not see it. Change: a repeat or second attempt needs both the policy by which the request was sent and the one in force. Figures: TestRouteThatMayNoLongerBeRepeated failed before.

--- a/internal/steerer/admission.go
+++ b/internal/steerer/admission.go
@@ -181,6 +181,12 @@
 	return true
 }
 
+// mayRepeat reports whether a call may be repeated by the policy by which it was sent and by
+// that in force.
+func (s *Steerer) mayRepeat(c *call) bool {
+	return c.idempotent && (c.policyNumber == s.policyNumber || s.isIdempotent(c))
+}
+
 // finalDeadline returns when a call's final response is due: at the end of the
 // route's timeout or responseMargin before the end of the caller's own limit,
 // whichever comes first.
--- a/internal/steerer/hedge.go
+++ b/internal/steerer/hedge.go
@@ -103,7 +103,7 @@
 	if !overdue {
 		next = overdueAfter(a.expected) - waited
 	}
-	if c.idempotent && len(c.pending) == 1 && !s.hedge(c, a, overdue) {
+	if s.mayRepeat(c) && len(c.pending) == 1 && !s.hedge(c, a, overdue) {
 		next = min(next, max(waited/reviewDivisor, time.Millisecond))
 	}
 	s.reviewLater(c, a, next)
--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -152,7 +152,7 @@
 func (s *Steerer) handleRan(c *call, reply traffic.Reply) {
 	c.received++
 	c.executions++
-	if reply.Status >= http.StatusInternalServerError && c.idempotent {
+	if reply.Status >= http.StatusInternalServerError && s.mayRepeat(c) {
 		c.fallback = &reply
 		s.retry(c, true, traffic.Interrupted)
 		return
@@ -193,7 +193,7 @@
 	c.executions++
 	c.mayHaveRun = true
 	s.recordUnknown(c, o)
-	if !c.idempotent {
+	if !s.mayRepeat(c) {
 		s.giveUp(c, traffic.Interrupted, 0)
 		return
 	}
--- a/internal/steerer/steerer_test.go
+++ b/internal/steerer/steerer_test.go
@@ -321,3 +321,20 @@
 		})
 	}
 }
+
+// A request whose route may no longer be repeated is not, also if it was sent before the change.
+func TestRouteThatMayNoLongerBeRepeated(t *testing.T) {
+	for _, o := range []traffic.Outcome{
+		{Fate: traffic.Unknown, Err: errReset},
+		{Fate: traffic.Ran, Reply: traffic.Reply{Status: 500, Signed: true}},
+	} {
+		b := newReadyBench(t, server("s1", "a1"), server("s2", "a2"))
+		_, effects := b.request("/look/1", "7")
+		send := b.mustSend(effects)
+		p := policy(2)
+		p.Routes[0].Idempotent = false
+		b.handle(traffic.PolicySeen{Policy: p})
+		_, again := findEffect[traffic.Send](b.endAttempt(send, o))
+		assert.Assert(t, !again, "the request was sent again after %v", o.Fate)
+	}
+}
