Borrow nothing in advance while calls lack tokens at all slots

Cause: an instance borrowed for its next 0.2 s also where no slot had enough, and from several slots; what its callers did not use in 0.25 s lapsed, while other instances lacked it. Ruled out: the buckets (0.9 tokens of 41 at hand, so none overflowed), long lots (none are lent then), tokens that come back (none), and waits. Change: where each slot has lacked tokens for calls that waited within 0.5 s, only as many are asked for as calls wait.

--- a/internal/steerer/quota_ask.go
+++ b/internal/steerer/quota_ask.go
@@ -184,6 +184,9 @@
 		return traffic.QuotaWish{}
 	}
 	part := func(n int) int { return max(0, (n-held+sharers-1)/sharers) }
+	if s.isScarce(o) {
+		return traffic.QuotaWish{Organisation: o.Name, Need: part(0), Useful: part(0)}
+	}
 	return traffic.QuotaWish{
 		Organisation: o.Name,
 		Need:         part(o.Expected(s.now, askAhead)),
@@ -191,6 +194,17 @@
 	}
 }
 
+// isScarce reports whether each slot has lacked tokens for calls that waited within scarcePause.
+// Tokens that are borrowed in advance would then lapse at one instance while another lacks them.
+func (s *Steerer) isScarce(o *organisation) bool {
+	for slot := range o.use {
+		if s.now.Sub(o.use[slot].shortUntil) >= scarcePause-shortPause {
+			return false
+		}
+	}
+	return true
+}
+
 // slotWish returns what to ask of a slot. ok is false if that is nothing at present.
 func (s *Steerer) slotWish(o *organisation, slot, sharers int) (w traffic.QuotaWish, ok bool) {
 	u := &o.use[slot]
--- a/internal/steerer/quota_fleet_test.go
+++ b/internal/steerer/quota_fleet_test.go
@@ -47,8 +47,9 @@
 	settings  traffic.Settings
 	// calmFrom is when all faults are over.
 	calmFrom time.Time
-	// alone is set if the instances can't call each other.
-	alone bool
+	// alone is set if the instances can't call each other, and repeats if callers repeat a
+	// refused request once.
+	alone, repeats bool
 	// records are those in the store, copied those of an earlier copy, and size is the fleet
 	// size that it holds. era grows when it comes back from the copy.
 	records  map[string]*quotaRecord
@@ -71,8 +72,9 @@
 // quotaCall is a request of some callers, which arrived in a second of the run.
 type quotaCall struct {
 	*quotaCallers
-	second  int
-	arrived time.Time
+	second   int
+	arrived  time.Time
+	repeated bool
 }
 
 // quotaCallers are the callers of one organisation.
@@ -200,6 +202,11 @@
 		c.tokens--
 		c.owed[second]++
 	}
+	f.request(quotaCall{quotaCallers: c, second: second, arrived: f.now})
+}
+
+// request passes a request to an instance.
+func (f *quotaFleet) request(c quotaCall) {
 	n := f.nodes[c.nodes[f.random.IntN(len(c.nodes))]]
 	for tries := 0; !n.running && tries < 20; tries++ {
 		n = f.nodes[f.random.IntN(len(f.nodes))]
@@ -208,7 +215,7 @@
 		return
 	}
 	n.lastCall++
-	n.owners[n.lastCall] = quotaCall{c, second, f.now}
+	n.owners[n.lastCall] = c
 	n.deliver(traffic.Arrived{Call: n.lastCall, Read: f.now, Request: traffic.Request{
 		ID: fmt.Sprintf("%s/%d", n.name, n.lastCall), Host: "shop.example", HostName: "shop.example", Path: "/x", Key: c.Keys[0], Limit: 2 * time.Second,
 	}})
--- a/internal/steerer/quota_node_test.go
+++ b/internal/steerer/quota_node_test.go
@@ -188,6 +188,11 @@
 		n.later(100*time.Millisecond, traffic.Ended{Call: x.Call, Attempt: x.Attempt, Outcome: successOutcome()})
 		c.served[c.second]++
 		f.waits = append(f.waits, f.now.Sub(c.arrived))
+	case traffic.Refuse:
+		if c := n.owners[x.Call]; f.repeats && !c.repeated {
+			c.repeated = true
+			f.schedule(x.RetryAfter, func() { f.request(c) })
+		}
 	case traffic.PublishFleetSize:
 		f.size = x.Instances
 	case traffic.Reannounce:
