Ask for no token for a request that has ended

Cause: a request whose caller had left, or whose time was over, stayed in the list of those that wait for a token for up to a tick, and was counted in what lenders were asked for. Change: it is taken out at once. TestRequestThatHasEndedWaitsForNoToken failed with 2 requests that wait, want 1.

--- a/internal/steerer/outcome.go
+++ b/internal/steerer/outcome.go
@@ -237,6 +237,7 @@
 		return
 	}
 	s.recordCallerLeft(c)
+	s.withdraw(c)
 	if !c.idempotent && len(c.pending) > 0 {
 		c.answered = true
 		return
--- a/internal/steerer/quota.go
+++ b/internal/steerer/quota.go
@@ -128,10 +128,18 @@
 	if c.waitsSince.IsZero() {
 		return false
 	}
+	s.withdraw(c)
 	s.refuseOverQuota(c)
 	return true
 }
 
+// withdraw takes a call that has ended out of those that wait for a token.
+func (s *Steerer) withdraw(c *call) {
+	if o := c.organisation; o != nil && !c.waitsSince.IsZero() {
+		o.waiting = slices.DeleteFunc(o.waiting, func(x *call) bool { return x == c })
+	}
+}
+
 func (s *Steerer) refuseOverQuota(c *call) {
 	c.waitsSince = time.Time{}
 	s.quotaRefusals++
--- a/internal/steerer/quota_test.go
+++ b/internal/steerer/quota_test.go
@@ -165,6 +165,19 @@
 	b.mustSend(b.handle(lent(mustAsk(t, effects), 1)))
 }
 
+// No token is asked for a request that has ended: its caller has left, or its time is over.
+func TestRequestThatHasEndedWaitsForNoToken(t *testing.T) {
+	b := newQuotaBench(t)
+	left, _ := b.ask("/look/")
+	over, _ := b.ask("/look/")
+	o := b.organisations["beans"]
+	assert.Equal(t, len(o.waiting), 2)
+	b.handle(traffic.CallerLeft{Call: left})
+	assert.Equal(t, len(o.waiting), 1)
+	assert.Equal(t, b.mustRefuse(b.handle(traffic.Expired{Call: over})).Reason, traffic.OverQuota)
+	assert.Equal(t, len(o.waiting), 0)
+}
+
 // A request whose caller leaves while it waits takes no token.
 func TestCallerLeavesWhileItsRequestWaits(t *testing.T) {
 	b := newQuotaBench(t)
