Let nobody lend from a slot whose lender's lease has lapsed and returns

Cause: a lender whose record returns in time goes on at once, but not all others knew it: a process that had started while its record was gone took it for new, and lent from its slots, 10 s long; one that followed a killed process lent at once also while a missing lender still lent by its allowance; and the one that returned took an instance for new that had started while it was out of touch. Ruled out: instances in touch all the time (they take over 14 s after the lease at the earliest). Change: a process that follows a killed one lends at once only if as many records are there as the store remembers; instances that appear within takeoverDelay of a start, or out of touch with the store and a join delay after it, are chosen at once. TestProcessThatStartsWhileALeaseHasLapsed failed as it lent at once, TestInstanceThatStartedWhileTheStoreWasLost as the instance was new.

--- a/internal/steerer/lenders.go
+++ b/internal/steerer/lenders.go
@@ -46,6 +46,10 @@
 	// starts. Instances that appear until then may be chosen at once.
 	uncountedUntil time.Time
 	uncounted      bool
+	// newUntil is the end of the time in which an instance that appears may be one that the
+	// others know: its lease had lapsed when this process started, and it has returned, or it
+	// started while this instance was out of touch with the store.
+	newUntil time.Time
 	// formerSeen is set if this instance started while the record of the process before it
 	// was in the store: the others have not stopped counting on it.
 	formerSeen bool
@@ -139,6 +143,14 @@
 	l := &s.lenders
 	s.initializeLenders()
 	first := len(l.candidates) == 0
+	switch {
+	case first:
+		l.newUntil = s.now.Add(s.takeoverDelay())
+	case s.store.unavailable || !s.now.Before(s.instances.keptUntil):
+		if until := s.now.Add(s.times().JoinDelay()); until.After(l.newUntil) {
+			l.newUntil = until
+		}
+	}
 	if l.uncounted && s.instances.storedSize == 0 {
 		l.uncountedUntil = s.now.Add(s.times().JoinDelay())
 	}
@@ -152,7 +164,7 @@
 		c.incarnation, c.leaving = i.Incarnation, i.Leaving
 		if isNew {
 			c.from = s.now
-			if !first && i.Name != s.Self.Name && !s.now.Before(l.uncountedUntil) {
+			if !first && i.Name != s.Self.Name && !s.now.Before(l.uncountedUntil) && !s.now.Before(l.newUntil) {
 				c.from = s.now.Add(s.takeoverDelay() - s.times().JoinDelay())
 			}
 		}
@@ -182,11 +194,13 @@
 	// Others take over takeoverDelay after the record is gone at the earliest, and learn within
 	// JoinDelay that it is back.
 	lapsed := s.lenders.lapsedAt
+	// One whose lease had lapsed when this process started may lend, and return.
+	formerSeen := s.lenders.formerSeen && len(s.instances.records) >= s.instances.storedSize
 	returned := !lapsed.IsZero() && s.now.Before(lapsed.Add(s.takeoverDelay()-s.times().JoinDelay()))
 	switch {
-	case (s.lenders.formerSeen || returned) && !s.lenders.restored:
+	case (formerSeen || returned) && !s.lenders.restored:
 		return s.now
-	case s.lenders.formerSeen || s.lenders.uncounted:
+	case formerSeen || s.lenders.uncounted:
 		return s.now.Add(s.times().JoinDelay())
 	}
 	return s.now.Add(s.takeoverDelay())
--- a/internal/steerer/quota_test.go
+++ b/internal/steerer/quota_test.go
@@ -317,6 +317,56 @@
 	}
 }
 
+// A lender whose lease had lapsed when a process started may still lend, and may return as
+// one that the others know: the process neither lends from its slots at once nor takes it for new.
+func TestProcessThatStartsWhileALeaseHasLapsed(t *testing.T) {
+	b := newTestBench(t, "front-1", "a1")
+	b.Settings = quotaSettings()
+	b.Self.PeerAddress, b.Self.Incarnation, b.Self.Region = "front-1", "2", "a"
+	b.handle(quotaPolicy(1, 100, 50))
+	b.handle(traffic.UpstreamsListed{})
+	b.handle(traffic.FleetSizeSeen{Instances: 2})
+	old := b.Self
+	old.Incarnation = "1"
+	b.handle(traffic.InstanceSeen{Instance: old})
+	b.handle(traffic.InstancesListed{Names: map[string]bool{old.Name: true}})
+	b.handle(traffic.RecordKept{Revision: 1, Lasts: time.Hour})
+	b.handle(traffic.InstanceSeen{Instance: b.Self})
+	b.handle(traffic.ServingStarted{})
+	tick := func(d time.Duration) {
+		b.advance(d)
+		b.handle(traffic.Ticked{})
+	}
+	tick(lenderRefresh)
+	assert.Assert(t, !b.mayLend())
+	b.handle(traffic.InstanceSeen{Instance: traffic.Instance{Name: "front-2", Domain: "a1", Region: "a", PeerAddress: "front-2", Capacity: 9}})
+	tick(lenderRefresh)
+	assert.DeepEqual(t, b.lenders.byRegion["a"], []string{"front-2"})
+	tick(b.takeoverDelay())
+	assert.Assert(t, b.mayLend())
+	assert.DeepEqual(t, b.lenders.byRegion["a"], []string{"front-2"})
+}
+
+// An instance that appears as the store is back may have started long before: the others
+// choose it already.
+func TestInstanceThatStartedWhileTheStoreWasLost(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		b := newQuotaBench(t)
+		b.advance(b.takeoverDelay())
+		if lost {
+			b.handle(traffic.StoreLost{Err: errors.New("no response")})
+		}
+		b.handle(traffic.Ticked{})
+		b.advance(lenderRefresh)
+		if lost {
+			b.handle(traffic.StoreRegained{})
+		}
+		b.handle(traffic.InstanceSeen{Instance: traffic.Instance{Name: "front-3", Domain: "a1", Region: "a", PeerAddress: "front-3", Capacity: 99}})
+		b.handle(traffic.Ticked{})
+		assert.Equal(t, b.now.Before(b.lenders.candidates["front-3"].from), !lost)
+	}
+}
+
 // The line of a refusal says what decided.
 func TestRefusalLineNamesTheQuota(t *testing.T) {
 	b := newQuotaBench(t)
--- a/internal/steerer/quota_trouble_test.go
+++ b/internal/steerer/quota_trouble_test.go
@@ -197,6 +197,55 @@
 	t.Logf("%d seeds: %.1f requests beyond the rule at worst", *quotaSeeds, worst)
 }
 
+// Guards against two instances that lend from one slot where the store turns some instances away
+// until their leases have lapsed, and lets them return, while others stop and start.
+func TestQuotaWhileLeasesLapseAndReturn(t *testing.T) {
+	worst := -1e9
+	for seed := range *quotaSeeds {
+		f := newQuotaFleet(uint64(seed), 9, 3, 12, 1, []time.Duration{shortBurst, longBurst}[seed%2])
+		f.settings.Bounds.QuotaExcess, f.settings.Bounds.QuotaSlack = 0, 0
+		for _, c := range f.callers {
+			c.perSecond *= 3
+			f.placeCallers(c, len(f.nodes), len(f.nodes))
+		}
+		names := f.turnAway()
+		f.run(50 * time.Second)
+		f.checkRule(t, fmt.Sprintf("seed %d: %v", seed, names))
+		for _, c := range f.callers {
+			worst = max(worst, c.excess(f.settings.Bounds))
+		}
+	}
+	t.Logf("%d seeds: %.1f requests beyond the rule at worst", *quotaSeeds, worst)
+}
+
+// turnAway cuts some instances off from the store for 6 to 14 s and restarts some others
+// meanwhile. It returns what happens.
+func (f *quotaFleet) turnAway() []string {
+	var names []string
+	order := f.random.Perm(len(f.nodes))
+	away := 1 + f.random.IntN(4)
+	between := func(low, high time.Duration) time.Duration {
+		return low + time.Duration(f.random.Int64N(int64(high-low)))
+	}
+	for _, i := range order[:away] {
+		n, at, length := f.nodes[i], quotaWarmUp+between(2*time.Second, 5*time.Second), between(6*time.Second, 14*time.Second)
+		names = append(names, fmt.Sprintf("%s turned away at %s for %s", n.name, at, length))
+		f.schedule(at, func() { n.storeCut = true })
+		f.schedule(at+length, func() { n.storeCut = false })
+	}
+	for _, i := range order[away : away+f.random.IntN(5)] {
+		n, at, length := f.nodes[i], quotaWarmUp+between(2*time.Second, 18*time.Second), between(time.Second, 6*time.Second)
+		if f.random.IntN(2) == 0 {
+			names = append(names, fmt.Sprintf("%s killed at %s for %s", n.name, at, length))
+			f.schedule(at, func() { n.restart(length) })
+			continue
+		}
+		names = append(names, fmt.Sprintf("%s restarted in order at %s", n.name, at))
+		f.schedule(at, n.restartInOrder)
+	}
+	return names
+}
+
 // Guards against more than a lower quota allows from one window after it is in force
 // everywhere, and against an organisation that gets twice its burst as it goes and comes back.
 func TestChangesOfQuotas(t *testing.T) {
