Count heads that are in the buffer, and give each loan back with its request

The server of callers reads ahead into a buffer, and told the acceptor of a head only when it parsed it: what was in the buffer by then, up to 4 KiB of each head behind the first, was not on loan. The end of a request gave back the loan of a head that was still being read; loans of others stayed until no request was in progress. A request that was read and waited for those before it could give way between them.

The acceptor is now given what is in the buffer, keeps the loan of each head until its request ends, and takes a request as in progress from the end of its head.

--- a/internal/acceptor/connection.go
+++ b/internal/acceptor/connection.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,32 +40,56 @@
 	stalledWrite int64
 	stalledSince time.Time
 
-	// mutex guards what the head holds.
+	// mutex guards what heads hold: lent is for the one that is read, and loans are those of the
+	// requests in progress, in their order.
 	mutex sync.Mutex
 	head  head
 	lent  int64
+	loans []int64
 	ended bool
 }
 
 // Begin marks the start of a request whose head has been read.
 func (c *Connection) Begin() {
 	c.served.Store(true)
-	c.inProgress.Add(1)
+	if !c.marked.Load() {
+		c.keepLoan()
+	}
 }
 
-// BeginHead marks the start of a head. A server that reads further requests while others are
+// BeginHead marks the start of a head, of which buffered has been read already. It returns
+// false if there is no memory for that. A server that reads further requests while others are
 // in progress calls it; the connection can't tell heads from bodies then.
-func (c *Connection) BeginHead() {
+func (c *Connection) BeginHead(buffered []byte) bool {
+	c.used.Store(c.listener.acceptor.uses.Add(1))
 	c.mutex.Lock()
 	c.head = head{}
+	if !c.marked.Load() {
+		// What was read so far is counted with buffered.
+		c.giveBack(c.lent)
+		c.lent = 0
+	}
 	c.mutex.Unlock()
 	c.marked.Store(true)
 	c.reading.Store(true)
+	return c.countHead(buffered)
 }
 
-// EndHead marks the end of a head.
-func (c *Connection) EndHead() {
+// EndHead marks the end of a head. If it is whole, its request is in progress from now on.
+func (c *Connection) EndHead(whole bool) {
 	c.reading.Store(false)
+	if whole {
+		c.keepLoan()
+	}
+}
+
+// keepLoan keeps the loan of the head that was read until its request has ended.
+func (c *Connection) keepLoan() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.loans = append(c.loans, c.lent)
+	c.lent = 0
+	c.inProgress.Add(1)
 }
 
 // isBusy reports whether a request is in progress.
@@ -80,19 +105,21 @@
 	return !c.isBusy()
 }
 
-// End marks the end of a request. The memory of heads is given back with the last one.
+// End marks the end of the request that has been in progress for the longest time, and gives
+// back the memory of its head.
 func (c *Connection) End() {
 	c.used.Store(c.listener.acceptor.uses.Add(1))
-	if c.inProgress.Add(-1) > 0 {
-		return
-	}
 	c.mutex.Lock()
 	if !c.marked.Load() {
 		c.head = head{}
 	}
-	c.giveBack()
+	if len(c.loans) > 0 {
+		c.giveBack(c.loans[0])
+		c.loans = slices.Delete(c.loans, 0, 1)
+	}
+	left := c.inProgress.Add(-1)
 	c.mutex.Unlock()
-	if a := c.listener.acceptor; a.waiting.Load() > 0 {
+	if a := c.listener.acceptor; left == 0 && a.waiting.Load() > 0 {
 		a.mutex.Lock()
 		a.signal()
 		a.mutex.Unlock()
@@ -127,7 +154,11 @@
 func (c *Connection) Close() error {
 	c.mutex.Lock()
 	c.ended = true
-	c.giveBack()
+	for _, lent := range c.loans {
+		c.giveBack(lent)
+	}
+	c.giveBack(c.lent)
+	c.loans, c.lent = nil, 0
 	c.mutex.Unlock()
 	a := c.listener.acceptor
 	a.mutex.Lock()
@@ -154,12 +185,10 @@
 	return true
 }
 
-func (c *Connection) giveBack() {
-	if c.lent == 0 {
-		return
+func (c *Connection) giveBack(lent int64) {
+	if lent > 0 {
+		c.listener.acceptor.Accountant.Return(traffic.Loan{Holder: traffic.HeadMemory, Bytes: lent})
 	}
-	c.listener.acceptor.Accountant.Return(traffic.Loan{Holder: traffic.HeadMemory, Bytes: c.lent})
-	c.lent = 0
 }
 
 // before reports whether a connection gives way before another.
--- a/internal/pipeliner/request.go
+++ b/internal/pipeliner/request.go
@@ -55,17 +55,25 @@
 	return x, nil
 }
 
-// headMarker is a connection that is told when a head is read.
+// headMarker is a connection that is told when a head is read, with what of it is in the buffer
+// already, and whether it was whole. BeginHead returns false if the head must not be read.
 type headMarker interface {
-	BeginHead()
-	EndHead()
+	BeginHead(buffered []byte) bool
+	EndHead(whole bool)
 }
 
+// errHeadRefused is a head that the connection must not read.
+var errHeadRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("pipeliner: the head is refused")}
+
 // readHead reads a head of limited size.
-func (c *connection) readHead() (*http.Request, error) {
+func (c *connection) readHead() (request *http.Request, err error) {
 	if marker, ok := c.conn.(headMarker); ok {
-		marker.BeginHead()
-		defer marker.EndHead()
+		// What is in the buffer can be peeked at.
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		defer func() { marker.EndHead(err == nil) }()
+		if !marker.BeginHead(buffered) {
+			return nil, errHeadRefused
+		}
 	}
 	c.source.limited, c.source.limit = true, c.server.maxHeaderBytes()+bufferBytes
 	defer func() { c.source.limited = false }()
