--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -121,28 +121,28 @@
 
 // LookUp returns the result of a look-up.
 func (c *Carrier) LookUp(q traffic.Query) traffic.LookUpResult {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	var result traffic.LookUpResult
-	for _, effect := range c.decide(traffic.LookUpRequested{Query: q}) {
-		if r, ok := effect.(traffic.LookUpResult); ok {
-			result = r
-		}
-	}
-	return result
+	return ask[traffic.LookUpResult](c, traffic.LookUpRequested{Query: q})
 }
 
 // Explain tells where a request would go now, without sending it.
 func (c *Carrier) Explain(request traffic.Request) traffic.Explanation {
+	return ask[traffic.Explanation](c, traffic.ExplanationRequested{Request: request})
+}
+
+// ask returns the effect of one type with which the reducer replies to an event, or the zero
+// value if there is none, and carries out the other effects.
+func ask[T traffic.Effect](c *Carrier, e traffic.Event) T {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	var explanation traffic.Explanation
-	for _, effect := range c.decide(traffic.ExplanationRequested{Request: request}) {
-		if x, ok := effect.(traffic.Explanation); ok {
-			explanation = x
+	var reply T
+	for _, effect := range c.decide(e) {
+		if x, ok := effect.(T); ok {
+			reply = x
+			continue
 		}
+		c.execute(effect)
 	}
-	return explanation
+	return reply
 }
 
 // View calls read with the reducer, which read must not modify.
--- a/internal/carrier/quota.go
+++ b/internal/carrier/quota.go
@@ -4,17 +4,7 @@
 
 // LendQuota returns what this instance lends to another one.
 func (c *Carrier) LendQuota(q traffic.QuotaQuery) traffic.QuotaReply {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	var reply traffic.QuotaReply
-	for _, effect := range c.decide(traffic.QuotaWanted{Query: q}) {
-		if r, ok := effect.(traffic.QuotaReply); ok {
-			reply = r
-			continue
-		}
-		c.execute(effect)
-	}
-	return reply
+	return ask[traffic.QuotaReply](c, traffic.QuotaWanted{Query: q})
 }
 
 // askLender sends a query to a lender of quotas.
--- a/internal/gossiper/bounded_test.go
+++ b/internal/gossiper/bounded_test.go
@@ -8,7 +8,6 @@
 	"net/http/httptest"
 	"net/rpc"
 	"strings"
-	"syscall"
 	"sync/atomic"
 	"syscall"
 	"testing"
