--- a/internal/steerer/memory_test.go
+++ b/internal/steerer/memory_test.go
@@ -17,7 +17,7 @@
 	return int64(stats.HeapAlloc)
 }
 
-// BenchmarkMemory reports what one more server, instance or route keeps in memory.
+// BenchmarkMemory reports what one more server, instance, route or organisation keeps in memory.
 func BenchmarkMemory(b *testing.B) {
 	const count = 2000
 	newBench := func() *testBench {
@@ -52,6 +52,15 @@
 			}
 			bench.handle(traffic.PolicySeen{Policy: p})
 		},
+		"organisation": func(bench *testBench) {
+			p := policy(2)
+			for n := range count {
+				p.Organisations = append(p.Organisations, traffic.Organisation{
+					Name: fmt.Sprintf("o-%d", n), Keys: []string{fmt.Sprintf("%020d", n), fmt.Sprintf("%020d", n+count)}, PerSecond: 100, Burst: 100,
+				})
+			}
+			bench.handle(traffic.PolicySeen{Policy: p})
+		},
 	} {
 		b.Run(name, func(b *testing.B) {
 			var grown int64
