Test the end of a connection by whether it answers

Naming the errors missed one again. Ruled out: a fault of the product; the connection has ended in each case. Change: the next call must fail, and not with a reply of the peer, which is what a connection that goes on would send.

--- a/internal/gossiper/bounded_test.go
+++ b/internal/gossiper/bounded_test.go
@@ -75,9 +75,10 @@
 	err = client.Call(rpcService+".Changes", strings.Repeat("x", 2*maxCallBytes), &reply)
 	assert.Assert(t, err != nil)
 	err = client.Call(rpcService+".Changes", traffic.ChangesQuery{}, &reply)
-	// A close with unread bytes resets the connection.
-	ended := errors.Is(err, rpc.ErrShutdown) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET)
-	assert.Assert(t, ended, "%v", err)
+	// A connection that goes on answers the call. How its end shows depends on when the reset that
+	// follows from unread bytes arrives.
+	_, answered := errors.AsType[rpc.ServerError](err)
+	assert.Assert(t, err != nil && !answered, "%v", err)
 }
 
 // Guards against a message whose length alone makes the decoder allocate: the connection ends
