--- /dev/null
+++ b/review/rig2/objects.go
@@ -0,0 +1,83 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	grownServers = 384
+	// objectsSent is the number of requests of the crowd, each for another object, and keyBytes the
+	// length of the cookie's value.
+	objectsSent = 22_000
+	keyBytes    = 15_500
+	crowdLinks  = 48
+)
+
+// objects lets clients that nobody controls send legal requests, each with a long value of its
+// own in the cookie for objects. They leave, and the memory is looked at when they have gone.
+func objects(w *world) int {
+	w.store.put("op/config", configuration(3, headBytes))
+	for n := range grownServers {
+		w.server(fmt.Sprintf("i-%d", n), "voorraad", 9, 5*time.Millisecond).start()
+	}
+	i := startInstance(folder, "front-gent-a-1", w.store, 184)
+	time.Sleep(4 * time.Second)
+	memory := i.guardMemory(w.record)
+	if a := w.ask(i, http.MethodGet, "/stock/1", 4*time.Second, "", nil); a.status != http.StatusOK {
+		cannotRun(fmt.Errorf("an ordinary request got %d, %v before the crowd", a.status, a.err))
+	}
+	length := 16
+	if w.trouble {
+		length = keyBytes
+	}
+	w.note("%d clients send %d requests, each for another object with a key of %d bytes", crowdLinks, objectsSent, length)
+	w.quiet.Store(true)
+	client := http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: crowdLinks}}
+	var answered, next atomic.Int64
+	var crowd sync.WaitGroup
+	end := time.Now().Add(60 * time.Second)
+	for range crowdLinks {
+		crowd.Go(func() {
+			for n := next.Add(1); n <= objectsSent && time.Now().Before(end); n = next.Add(1) {
+				request, err := http.NewRequest(http.MethodGet, "http://"+i.front+"/stock/1", nil)
+				if err != nil {
+					cannotRun(err)
+				}
+				key := strconv.FormatInt(n, 10)
+				request.Host = host
+				request.Header.Set("Yuccathread-Request-Id", w.newID())
+				request.Header.Set("Yuccathread-Request-Deadline", "4000")
+				request.Header.Set("Cookie", "Yuccathread-Affinity-Key="+strings.Repeat("k", length-len(key))+key)
+				response, err := client.Do(request)
+				if err != nil {
+					time.Sleep(50 * time.Millisecond)
+					continue
+				}
+				response.Body.Close()
+				if response.StatusCode == http.StatusOK {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	crowd.Wait()
+	client.CloseIdleConnections()
+	w.quiet.Store(false)
+	w.note("%d of them were answered with 200; the clients have left", answered.Load())
+	time.Sleep(10 * time.Second)
+	peak, killed := memory()
+	w.note("memory at its peak: %d MB; 10 s after the clients have left: %d MB", peak>>20, i.memory()>>20)
+	a := w.ask(i, http.MethodGet, "/stock/1", 4*time.Second, "", nil)
+	if killed || a.status != http.StatusOK {
+		return exitBroken
+	}
+	return exitHeld
+}
