--- a/review/rig2/crowd.go
+++ b/review/rig2/crowd.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"net"
-	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -33,15 +32,12 @@
 	for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
 		w.server(id, "voorraad", 9, 100*time.Millisecond).start()
 	}
-	i := startInstance(folder, "front-gent-a-1", w.store, 284)
-	time.Sleep(2 * time.Second)
-	memory := i.guardMemory(w.record)
-	for range 5 {
-		if a := w.ask(i, http.MethodGet, "/stock/1", 4*time.Second, "", nil); a.status != http.StatusOK {
-			cannotRun(fmt.Errorf("an ordinary request got %d, %v before the crowd", a.status, a.err))
-		}
-	}
-	w.note("%d clients connect", crowdSize)
+	return w.playRounds(284, w.throwCrowd)
+}
+
+// throwCrowd throws the crowd at an instance, and lets it leave after some seconds.
+func (w *world) throwCrowd(i *instance) {
+	w.note("%d clients connect to %s", crowdSize, i.name)
 	var connections []net.Conn
 	var mutex sync.Mutex
 	var crowd sync.WaitGroup
@@ -61,17 +57,10 @@
 		})
 	}
 	crowd.Wait()
-	w.note("%d clients have connected, sent a head of %d bytes and 90 of 100 bytes of their bodies", len(connections), headBytes-1)
-	time.Sleep(8 * time.Second)
-	peak, killed := memory()
-	w.note("memory at its peak: %d MB", peak>>20)
+	w.note("%d clients have connected to %s and sent a head of %d bytes, and 90 of 100 bytes of their bodies", len(connections), i.name, headBytes-1)
+	time.Sleep(6 * time.Second)
 	for _, conn := range connections {
 		conn.Close()
 	}
 	time.Sleep(time.Second)
-	a := w.ask(i, http.MethodGet, "/stock/1", 4*time.Second, "", nil)
-	if killed || a.status != http.StatusOK {
-		return exitBroken
-	}
-	return exitHeld
 }
--- a/review/rig2/entry.go
+++ b/review/rig2/entry.go
@@ -21,7 +21,7 @@
 	leaves := w.server("i-leaves", "bestel", 4, 360*time.Millisecond)
 	stays.start()
 	leaves.start()
-	i := startInstance(folder, "front-gent-a-1", w.store, 284)
+	i := startInstance(folder, "front-gent-a-1", "gent-a", w.store, 284)
 	time.Sleep(2 * time.Second)
 
 	var calls sync.WaitGroup
--- a/review/rig2/headers.go
+++ b/review/rig2/headers.go
@@ -14,7 +14,7 @@
 	for _, id := range []string{"i-1", "i-2"} {
 		w.server(id, "voorraad", 9, 20*time.Millisecond).start()
 	}
-	i := startInstance(folder, "front-gent-a-1", w.store, 284)
+	i := startInstance(folder, "front-gent-a-1", "gent-a", w.store, 284)
 	time.Sleep(time.Second)
 	size := 6000
 	if w.trouble {
--- a/review/rig2/heads.go
+++ b/review/rig2/heads.go
@@ -51,10 +51,12 @@
 		}
 		s.start()
 	}
-	i := startInstance(folder, "front-gent-a-1", w.store, 184)
-	time.Sleep(2 * time.Second)
-	memory := i.guardMemory(w.record)
 	w.note("%d of %d servers answer with heads without end: %v", faultyServers, services, w.trouble)
+	return w.playRounds(184, w.sendMany)
+}
+
+// sendMany sends 200 requests a second to an instance for 8 s.
+func (w *world) sendMany(i *instance) {
 	w.quiet.Store(true)
 	var mutex sync.Mutex
 	answers := map[int]int{}
@@ -71,12 +73,5 @@
 	}
 	calls.Wait()
 	w.quiet.Store(false)
-	w.note("answers by status, 0 for none: %v", answers)
-	peak, killed := memory()
-	w.note("memory at its peak: %d MB", peak>>20)
-	a := w.ask(i, http.MethodGet, "/stock/1", 4*time.Second, "", nil)
-	if killed || a.status == 0 {
-		return exitBroken
-	}
-	return exitHeld
+	w.note("answers of %s by status, 0 for none: %v", i.name, answers)
 }
--- a/review/rig2/instance.go
+++ b/review/rig2/instance.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -19,9 +20,13 @@
 // instance is a process of the project.
 type instance struct {
 	front, ready, directory string
+	name                    string
 	memoryMB                int64
-	command                 *exec.Cmd
-	ended                   chan struct{}
+	// peak is the highest memory seen, and killed says that it was too much.
+	peak    atomic.Int64
+	killed  atomic.Bool
+	command *exec.Cmd
+	ended   chan struct{}
 }
 
 // freeAddress returns a loopback address that was free a moment ago.
@@ -33,10 +38,10 @@
 
 // startInstance starts a process with the command of the deploy file and the settings of
 // platform/settings.jsonc, filled in for the Verhaegen site.
-func startInstance(folder, name string, s *store, memoryMB int64) *instance {
-	i := &instance{front: freeAddress(), ready: freeAddress(), directory: freeAddress(), memoryMB: memoryMB, ended: make(chan struct{})}
+func startInstance(folder, name, zone string, s *store, memoryMB int64) *instance {
+	i := &instance{name: name, front: freeAddress(), ready: freeAddress(), directory: freeAddress(), memoryMB: memoryMB, ended: make(chan struct{})}
 	settings := map[string]any{
-		"instance": name, "failure_domain": "gent-a", "region": "flanders",
+		"instance": name, "failure_domain": zone, "region": "flanders",
 		"caller_address": i.front, "ready_address": i.ready, "look_up_address": i.directory,
 		"metrics_address": freeAddress(), "peer_address": freeAddress(), "store_address": s.address,
 		"failure_domains": map[string]string{"gent-a": "flanders", "gent-b": "flanders"},
@@ -111,33 +116,23 @@
 	return 0
 }
 
-// guardMemory does what the platform does: a process that exceeds its memory is killed. It
-// returns a function that tells the highest memory seen and whether the process was killed.
-func (i *instance) guardMemory(r *record) func() (peak int64, killed bool) {
-	type state struct {
-		peak   int64
-		killed bool
-	}
-	states := make(chan state, 1)
-	states <- state{}
+// guardMemory does what the platform does: a process that exceeds its memory is killed.
+func (i *instance) guardMemory(r *record) {
 	go func() {
 		for range time.Tick(20 * time.Millisecond) {
 			memory := i.memory()
-			s := <-states
-			s.peak = max(s.peak, memory)
-			if memory > i.memoryMB<<20 && !s.killed {
-				s.killed = true
-				r.note("the process holds %d MB of %d MB: the platform kills it", memory>>20, i.memoryMB)
+			i.peak.Store(max(i.peak.Load(), memory))
+			if memory > i.memoryMB<<20 && !i.killed.Swap(true) {
+				r.note("%s holds %d MB of %d MB: the platform kills it", i.name, memory>>20, i.memoryMB)
 				_ = i.command.Process.Signal(syscall.SIGKILL)
 			}
-			states <- s
+			select {
+			case <-i.ended:
+				return
+			default:
+			}
 		}
 	}()
-	return func() (int64, bool) {
-		s := <-states
-		states <- s
-		return s.peak, s.killed
-	}
 }
 
 // dial opens a connection for callers.
--- a/review/rig2/objects.go
+++ b/review/rig2/objects.go
@@ -28,9 +28,9 @@
 	for n := range grownServers {
 		w.server(fmt.Sprintf("i-%d", n), "voorraad", 9, 5*time.Millisecond).start()
 	}
-	i := startInstance(folder, "front-gent-a-1", w.store, 184)
+	i := startInstance(folder, "front-gent-a-1", "gent-a", w.store, 184)
 	time.Sleep(4 * time.Second)
-	memory := i.guardMemory(w.record)
+	i.guardMemory(w.record)
 	if a := w.ask(i, http.MethodGet, "/stock/1", 4*time.Second, "", nil); a.status != http.StatusOK {
 		cannotRun(fmt.Errorf("an ordinary request got %d, %v before the crowd", a.status, a.err))
 	}
@@ -73,10 +73,9 @@
 	w.quiet.Store(false)
 	w.note("%d of them were answered with 200; the clients have left", answered.Load())
 	time.Sleep(10 * time.Second)
-	peak, killed := memory()
-	w.note("memory at its peak: %d MB; 10 s after the clients have left: %d MB", peak>>20, i.memory()>>20)
+	w.note("memory at its peak: %d MB; 10 s after the clients have left: %d MB", i.peak.Load()>>20, i.memory()>>20)
 	a := w.ask(i, http.MethodGet, "/stock/1", 4*time.Second, "", nil)
-	if killed || a.status != http.StatusOK {
+	if i.killed.Load() || a.status != http.StatusOK {
 		return exitBroken
 	}
 	return exitHeld
