--- a/review/rig2/entry.go
+++ b/review/rig2/entry.go
@@ -13,9 +13,39 @@
 // drainBound is the bound "drain" of the settings.
 const drainBound = 2500 * time.Millisecond
 
-// oddEntry lets a server drain. Later, while it still serves, another writer leaves an entry
-// with missing fields under its id, until the server's next report.
+// oddEntry lets another writer leave an entry with missing fields of a server that drains and
+// still serves.
 func oddEntry(w *world) int {
+	return w.drain(func(leaves *server) {
+		w.store.put("servers/"+leaves.id, map[string]any{
+			"address": leaves.address,
+			"info":    map[string]any{"service": "bestel", "zone": "gent-a", "slots": 4},
+			"status":  map[string]any{"state": "ready", "cold_left": "0ms"},
+		})
+		w.note("another writer leaves an entry of i-leaves without born, version and seq")
+	})
+}
+
+// lateReport lets the store carry out late what a server reported before it drained: the call had
+// no answer.
+func lateReport(w *world) int {
+	var report entry
+	reported := make(chan struct{})
+	w.beforeDrain = func(leaves *server) {
+		report = leaves.report()
+		w.note("i-leaves reports %s with seq %d, and gets no answer", report.Status.State, report.Status.Seq)
+		close(reported)
+	}
+	return w.drain(func(leaves *server) {
+		<-reported
+		w.store.put("servers/"+leaves.id, report)
+		w.note("the store carries out the report with seq %d", report.Status.Seq)
+	})
+}
+
+// drain lets one of two servers drain, disrupts that while it still serves, and ends it before its
+// next report.
+func (w *world) drain(disrupt func(leaves *server)) int {
 	w.store.put("op/config", configuration(3, 16384))
 	stays := w.server("i-stays", "bestel", 4, 360*time.Millisecond)
 	leaves := w.server("i-leaves", "bestel", 4, 360*time.Millisecond)
@@ -46,16 +76,15 @@
 		}
 	})
 	time.Sleep(3 * time.Second)
-	acknowledged := leaves.drain()
-	w.note("the store acknowledges that i-leaves is draining, at %s", w.at(acknowledged))
+	if w.trouble && w.beforeDrain != nil {
+		w.beforeDrain(leaves)
+	}
+	time.Sleep(time.Second)
+	acknowledged, seq := leaves.drain()
+	w.note("the store acknowledges that i-leaves is draining, with seq %d, at %s", seq, w.at(acknowledged))
 	time.Sleep(time.Until(acknowledged.Add(drainBound + 1500*time.Millisecond)))
 	if w.trouble {
-		w.store.put("servers/i-leaves", map[string]any{
-			"address": leaves.address,
-			"info":    map[string]any{"service": "bestel", "zone": "gent-a", "slots": 4},
-			"status":  map[string]any{"state": "ready", "cold_left": "0ms"},
-		})
-		w.note("another writer leaves an entry of i-leaves without born, version and seq")
+		disrupt(leaves)
 	}
 	time.Sleep(time.Second)
 	leaves.end()
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -174,6 +174,8 @@
 	*record
 	store   *store
 	trouble bool
+	// beforeDrain, if set, is called a second before the server drains.
+	beforeDrain func(leaves *server)
 }
 
 func (w *world) server(id, service string, slots int, work time.Duration) *server {
@@ -183,6 +185,7 @@
 var cases = map[string]func(*world) int{
 	"paths":   paths,
 	"entry":   oddEntry,
+	"late":    lateReport,
 	"heads":   heads,
 	"headers": headers,
 	"objects": objects,
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -83,33 +83,48 @@
 	}()
 }
 
-func (s *server) beat() time.Time {
+// report returns the next report of the server.
+func (s *server) report() entry {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.ended {
-		return time.Time{}
-	}
+	return s.nextReport()
+}
+
+func (s *server) nextReport() entry {
 	state := "ready"
 	if s.draining {
 		state = "draining"
 	}
 	s.seq++
-	e := entry{
+	return entry{
 		Address: s.address, Born: s.born,
 		Info:   entryInfo{Service: s.service, Version: "v1", Zone: s.zone, Slots: s.slots},
 		Status: entryStatus{State: state, Seq: s.seq, ColdLeft: "0ms"},
 	}
+}
+
+func (s *server) beat() time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.ended {
+		return time.Time{}
+	}
+	e := s.nextReport()
 	plain := e
 	plain.Status.Seq = 0
 	return s.store.beat("servers/"+s.id, e, plain)
 }
 
-// drain reports that the server is draining and returns when the store acknowledged it.
-func (s *server) drain() time.Time {
+// drain reports that the server is draining and returns when the store acknowledged it, and the
+// number of the report.
+func (s *server) drain() (acknowledged time.Time, seq int64) {
 	s.mutex.Lock()
 	s.draining = true
 	s.mutex.Unlock()
-	return s.beat()
+	acknowledged = s.beat()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return acknowledged, s.seq
 }
 
 // end ends the server at once, after it has removed its entry.
