--- a/review/rig2/entry.go
+++ b/review/rig2/entry.go
@@ -10,13 +10,16 @@
 	"time"
 )
 
+// lastMoment is the time from the disruption to the end of the server.
+const lastMoment = 600 * time.Millisecond
+
 // drainBound is the bound "drain" of the settings.
 const drainBound = 2500 * time.Millisecond
 
 // oddEntry lets another writer leave an entry with missing fields of a server that drains and
 // still serves.
 func oddEntry(w *world) int {
-	return w.drain(func(leaves *server) {
+	return w.drain(0, func(leaves *server) {
 		w.store.put("servers/"+leaves.id, map[string]any{
 			"address": leaves.address,
 			"info":    map[string]any{"service": "bestel", "zone": "gent-a", "slots": 4},
@@ -26,6 +29,10 @@
 	})
 }
 
+// firstOrder is the time after which orders come in lateReport: no order is at the server while it
+// begins to drain, so that no answer of it has told the instance that it leaves.
+const firstOrder = 7 * time.Second
+
 // lateReport lets the store carry out late what a server reported before it drained: the call had
 // no answer.
 func lateReport(w *world) int {
@@ -36,21 +43,22 @@
 		w.note("i-leaves reports %s with seq %d, and gets no answer", report.Status.State, report.Status.Seq)
 		close(reported)
 	}
-	return w.drain(func(leaves *server) {
+	return w.drain(firstOrder, func(leaves *server) {
 		<-reported
 		w.store.put("servers/"+leaves.id, report)
 		w.note("the store carries out the report with seq %d", report.Status.Seq)
 	})
 }
 
-// drain lets one of two servers drain, disrupts that while it still serves, and ends it before its
-// next report.
-func (w *world) drain(disrupt func(leaves *server)) int {
+// drain lets one of three servers drain, disrupts that while it still serves, and ends it before its
+// next report. Orders come after a time.
+func (w *world) drain(quietFor time.Duration, disrupt func(leaves *server)) int {
 	w.store.put("op/config", configuration(3, 16384))
-	stays := w.server("i-stays", "bestel", 4, 360*time.Millisecond)
-	leaves := w.server("i-leaves", "bestel", 4, 360*time.Millisecond)
-	stays.start()
+	leaves := w.server("i-leaves", "bestel", 4, 600*time.Millisecond)
 	leaves.start()
+	for _, id := range []string{"i-stays-1", "i-stays-2"} {
+		w.server(id, "bestel", 4, 600*time.Millisecond).start()
+	}
 	i := startInstance(folder, "front-gent-a-1", "gent-a", w.store, 284)
 	time.Sleep(2 * time.Second)
 
@@ -58,12 +66,13 @@
 	var failed atomic.Int64
 	stop := make(chan struct{})
 	calls.Go(func() {
-		ticker := time.NewTicker(100 * time.Millisecond)
+		time.Sleep(quietFor)
+		ticker := time.NewTicker(70 * time.Millisecond)
 		defer ticker.Stop()
 		for n := 0; ; n++ {
 			select {
 			case <-ticker.C:
-				object := http.Header{"Cookie": {fmt.Sprintf("Yuccathread-Affinity-Key=%d", n%24)}}
+				object := http.Header{"Cookie": {fmt.Sprintf("Yuccathread-Affinity-Key=%d", n%48)}}
 				calls.Go(func() {
 					a := w.ask(i, http.MethodPut, "/order/1", 3*time.Second, "2 x magnetic core", object)
 					if a.status != http.StatusOK {
@@ -86,7 +95,7 @@
 	if w.trouble {
 		disrupt(leaves)
 	}
-	time.Sleep(time.Second)
+	time.Sleep(lastMoment)
 	leaves.end()
 	w.note("i-leaves has ended, %v after the acknowledgement", time.Since(acknowledged).Round(time.Millisecond))
 	time.Sleep(time.Second)
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -46,8 +46,6 @@
 	work    time.Duration
 	store   *store
 	record  *record
-	// headers are added to each answer.
-	headers atomic.Pointer[http.Header]
 	// instead, if set, takes over requests before they run.
 	instead func(w http.ResponseWriter, r *http.Request) bool
 
@@ -138,6 +136,12 @@
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Yuccathread-Request-Id")
+	s.mutex.Lock()
+	draining := s.draining
+	s.mutex.Unlock()
+	if draining {
+		w.Header().Set("Server-Leaving", "1")
+	}
 	reject := func(status int) {
 		w.Header().Set("Yuccathread-Request-Id", id)
 		w.Header().Set("Yuccathread-Not-Executed", "1")
@@ -165,11 +169,6 @@
 	s.record.ran(id, s.id, arrived)
 	time.Sleep(s.work)
 	running := s.running.Add(-1)
-	if more := s.headers.Load(); more != nil {
-		for name, values := range *more {
-			w.Header()[name] = values
-		}
-	}
 	w.Header().Set("Yuccathread-Request-Id", id)
 	w.Header().Set("Yuccathread-Response-Stamp", "stamp."+id)
 	w.Header().Set("Yuccathread-Server-Load", fmt.Sprintf("%d,0,%d", running, s.slots))
