--- a/review/rig2/objects.go
+++ b/review/rig2/objects.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	grownServers = 384
+	// largeServers is the number of servers of the service in the region of the instance.
+	largeServers = 384
 	// objectsSent is the number of requests of the crowd, each for another object, and keyBytes the
 	// length of the cookie's value.
 	objectsSent = 22_000
@@ -25,7 +26,7 @@
 // own in the cookie for objects. They leave, and the memory is looked at when they have gone.
 func objects(w *world) int {
 	w.store.put("op/config", configuration(3, headBytes))
-	for n := range grownServers {
+	for n := range largeServers {
 		w.server(fmt.Sprintf("i-%d", n), "voorraad", 9, 5*time.Millisecond).start()
 	}
 	w.startOrderServers()
