review: cases 7 and 8 strike just after a report of the server

Before, a slower start of the instance could put the disruption right before the server's next report, which heals it.

--- a/review/rig2/entry.go
+++ b/review/rig2/entry.go
@@ -31,7 +31,7 @@
 
 // firstOrder is the time after which orders come in lateReport: no order is at the server while it
 // begins to drain, so that no answer of it has told the instance that it leaves.
-const firstOrder = 7 * time.Second
+const firstOrder = 6500 * time.Millisecond
 
 // lateReport lets the store carry out late what a server reported before it drained: the call had
 // no answer.
@@ -91,7 +91,8 @@
 	time.Sleep(time.Second)
 	acknowledged, seq := leaves.drain()
 	w.note("the store acknowledges that i-leaves is draining, with seq %d, at %s", seq, w.at(acknowledged))
-	time.Sleep(time.Until(acknowledged.Add(drainBound + 1500*time.Millisecond)))
+	time.Sleep(time.Until(acknowledged.Add(drainBound + 500*time.Millisecond)))
+	leaves.awaitReport()
 	if w.trouble {
 		disrupt(leaves)
 	}
--- a/review/rig2/server.go
+++ b/review/rig2/server.go
@@ -125,6 +125,18 @@
 	return acknowledged, s.seq
 }
 
+// awaitReport waits for the next report of the server.
+func (s *server) awaitReport() {
+	reports := func() int64 {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		return s.seq
+	}
+	for former := reports(); reports() == former; {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // end ends the server at once, after it has removed its entry.
 func (s *server) end() {
 	s.mutex.Lock()
